Add the transport package

Cause: the daemon needs sockets, calls between hosts, HTTP, a store client, timers, logs and metrics, each as a RAII wrapper round a known library. Change: UDP on Boost.Asio read by several threads, gRPC server and client with bounded threads and buffers, Pistache server, Boost.Beast client, a client of the platform's key-value interface and an in-process store, a timer service, Boost.Log lines with a limit per event, Boost.Accumulators metrics.

--- a/state/state.hpp
+++ b/state/state.hpp
@@ -12,6 +12,7 @@
 #include "state/ids.hpp"
 #include "state/invariants.hpp"
 #include "state/messages.hpp"
+#include "state/published.hpp"
 #include "state/shard.hpp"
 #include "state/table.hpp"
 // IWYU pragma: end_exports
--- /dev/null
+++ b/transport/log.cpp
@@ -0,0 +1,134 @@
+#include "transport/log.hpp"
+
+#include <array>
+#include <boost/log/attributes/constant.hpp>
+#include <boost/log/attributes/mutable_constant.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
+#include <boost/log/support/date_time.hpp>
+#include <boost/log/utility/setup/common_attributes.hpp>
+#include <boost/log/utility/setup/console.hpp>
+#include <chrono>
+#include <iostream>
+#include <map>
+#include <mutex>
+
+namespace chivelever::log
+{
+
+namespace
+{
+
+namespace bl = boost::log;
+
+constexpr int max_lines_per_second = 20;
+constexpr std::array<std::string_view, 4> names{"debug", "info", "warning", "error"};
+
+// Lines of one event in the present second.
+struct event_rate
+{
+    std::chrono::steady_clock::time_point second;
+    int lines{};
+    int suppressed{};
+};
+
+std::mutex rate_mutex;
+std::map<std::string, event_rate, std::less<>> rates;
+std::string host_name;
+
+// Whether to write, and how many lines were left out since the last one.
+bool admit(std::string_view event, int& suppressed)
+{
+    auto const now = std::chrono::steady_clock::now();
+    std::lock_guard const lock(rate_mutex);
+    auto it = rates.find(event);
+    if (it == rates.end())
+        it = rates.emplace(event, event_rate{now, 0, 0}).first;
+    event_rate& r = it->second;
+    if (now - r.second >= std::chrono::seconds(1))
+    {
+        r.second = now;
+        r.lines = 0;
+    }
+    if (++r.lines > max_lines_per_second)
+    {
+        ++r.suppressed;
+        return false;
+    }
+    suppressed = std::exchange(r.suppressed, 0);
+    return true;
+}
+
+// Values with spaces or quotes are quoted, so that a line can be split again.
+std::string quoted(std::string const& value)
+{
+    if (!value.empty() && value.find_first_of(" \"=\n\t") == std::string::npos)
+        return value;
+    std::string out = "\"";
+    for (char const c : value)
+    {
+        if (c == '"' || c == '\\')
+            out += '\\';
+        out += c == '\n' ? ' ' : c;
+    }
+    return out + "\"";
+}
+
+bl::sources::severity_logger_mt<severity>& logger()
+{
+    static bl::sources::severity_logger_mt<severity> l;
+    return l;
+}
+
+} // namespace
+
+void start(severity lowest, std::string host)
+{
+    host_name = std::move(host);
+    bl::add_common_attributes();
+    bl::add_console_log(std::clog, bl::keywords::auto_flush = true,
+                        bl::keywords::format =
+                            (bl::expressions::stream
+                             << "time="
+                             << bl::expressions::format_date_time<boost::posix_time::ptime>(
+                                    "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+                             << " " << bl::expressions::smessage));
+    set_severity(lowest);
+}
+
+void set_severity(severity lowest)
+{
+    bl::core::get()->set_filter(bl::expressions::attr<severity>("Severity") >= lowest);
+}
+
+bool parse_severity(std::string_view text, severity& out)
+{
+    for (std::size_t i = 0; i < names.size(); ++i)
+        if (names[i] == text)
+        {
+            out = static_cast<severity>(i);
+            return true;
+        }
+    return false;
+}
+
+void write(severity s, std::string_view event, std::initializer_list<field> fields)
+{
+    bl::record record = logger().open_record(bl::keywords::severity = s);
+    int suppressed = 0;
+    if (!record || !admit(event, suppressed))
+        return;
+    bl::record_ostream line(record);
+    line << "severity=" << names[static_cast<std::size_t>(s)] << " host=" << host_name
+         << " event=" << event;
+    for (field const& f : fields)
+        line << " " << f.key << "=" << quoted(f.value);
+    if (suppressed > 0)
+        line << " suppressed=" << suppressed;
+    line.flush();
+    logger().push_record(std::move(record));
+}
+
+} // namespace chivelever::log
--- /dev/null
+++ b/transport/store_client.cpp
@@ -0,0 +1,123 @@
+#include "transport/store_client.hpp"
+
+#include "transport/http_client.hpp"
+
+#include <boost/json.hpp>
+#include <chrono>
+#include <openssl/evp.h>
+
+namespace chivelever
+{
+
+namespace
+{
+
+constexpr duration call_limit = std::chrono::seconds(2);
+// Time that a watch may take beyond the wait that it asked for.
+constexpr duration watch_margin = std::chrono::seconds(2);
+constexpr int http_ok = 200;
+constexpr int http_not_found = 404;
+
+// Empty if the text is not base64.
+std::string decode_base64(std::string_view text)
+{
+    std::string out(3 * text.size() / 4 + 3, '\0');
+    int const n = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                                  reinterpret_cast<unsigned char const*>(text.data()),
+                                  static_cast<int>(text.size()));
+    // OpenSSL counts the padding as bytes.
+    int const padding = text.ends_with("==") ? 2 : text.ends_with("=") ? 1 : 0;
+    out.resize(n < padding ? 0 : static_cast<std::size_t>(n - padding));
+    return out;
+}
+
+// Reads the JSON array of one entry with Value in base64 and ModifyIndex.
+store_value parse_entry(std::string const& body)
+{
+    boost::system::error_code error;
+    boost::json::value const json = boost::json::parse(body, error);
+    if (error || !json.is_array() || json.as_array().empty() || !json.as_array()[0].is_object())
+        return {store_status::unreachable, {}, 0};
+    auto const& entry = json.as_array()[0].as_object();
+    auto const* const value = entry.if_contains("Value");
+    auto const* const index = entry.if_contains("ModifyIndex");
+    if (value == nullptr || !value->is_string() || index == nullptr || !index->is_number())
+        return {store_status::unreachable, {}, 0};
+    return {store_status::done, decode_base64(value->as_string()),
+            index->to_number<std::uint64_t>()};
+}
+
+} // namespace
+
+store_value http_store::read(std::string const& target, duration limit)
+{
+    ++calls_;
+    auto const reply = http_call(server_, "GET", target, {}, limit);
+    if (!reply)
+        return {store_status::unreachable, {}, 0};
+    if (reply->status == http_not_found)
+        return {store_status::not_found, {}, 0};
+    if (reply->status != http_ok)
+        return {store_status::unreachable, {}, 0};
+    return parse_entry(reply->body);
+}
+
+store_value http_store::get(std::string const& key)
+{
+    return read("/v1/kv/" + key, call_limit);
+}
+
+store_value http_store::watch(std::string const& key, std::uint64_t index, duration wait)
+{
+    auto const ms = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+    return read("/v1/kv/" + key + "?index=" + std::to_string(index) +
+                    "&wait=" + std::to_string(ms) + "ms",
+                wait + watch_margin);
+}
+
+store_value http_store::compare_and_swap(std::string const& key, std::string const& value,
+                                         std::uint64_t expected)
+{
+    ++calls_;
+    auto const reply = http_call(
+        server_, "PUT", "/v1/kv/" + key + "?cas=" + std::to_string(expected), value, call_limit);
+    if (!reply || reply->status != http_ok)
+        return {store_status::unreachable, {}, 0};
+    bool const accepted = reply->body.starts_with("true");
+    return {accepted ? store_status::done : store_status::conflict, {}, 0};
+}
+
+store_value memory_store::read(std::string const& key) const
+{
+    auto const it = values_.find(key);
+    return it == values_.end() ? store_value{store_status::not_found, {}, 0} : it->second;
+}
+
+store_value memory_store::get(std::string const& key)
+{
+    ++calls_;
+    std::lock_guard const lock(mutex_);
+    return read(key);
+}
+
+store_value memory_store::compare_and_swap(std::string const& key, std::string const& value,
+                                           std::uint64_t expected)
+{
+    ++calls_;
+    std::lock_guard const lock(mutex_);
+    if (read(key).index != expected)
+        return {store_status::conflict, {}, 0};
+    values_[key] = {store_status::done, value, ++index_};
+    changed_.notify_all();
+    return {store_status::done, {}, index_};
+}
+
+store_value memory_store::watch(std::string const& key, std::uint64_t index, duration wait)
+{
+    ++calls_;
+    std::unique_lock lock(mutex_);
+    changed_.wait_for(lock, wait, [&] { return read(key).index != index; });
+    return read(key);
+}
+
+} // namespace chivelever
--- /dev/null
+++ b/transport/store_client.hpp
@@ -0,0 +1,60 @@
+// Clients of the platform's key-value service.
+#ifndef CHIVELEVER_TRANSPORT_STORE_CLIENT_HPP
+#define CHIVELEVER_TRANSPORT_STORE_CLIENT_HPP
+
+#include "coordination/coordination.hpp"
+
+#include <atomic>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace chivelever
+{
+
+// Speaks the HTTP key-value interface of the platform: GET and PUT of /v1/kv/KEY, with `cas` for
+// compare-and-swap and `index` and `wait` for watches.
+class http_store
+{
+public:
+    explicit http_store(endpoint server) : server_(server) {}
+
+    store_value get(std::string const& key);
+    store_value compare_and_swap(std::string const& key, std::string const& value,
+                                 std::uint64_t expected);
+    store_value watch(std::string const& key, std::uint64_t index, duration wait);
+    std::uint64_t calls() const { return calls_; }
+
+private:
+    store_value read(std::string const& target, duration limit);
+
+    endpoint server_;
+    std::atomic<std::uint64_t> calls_{0};
+};
+static_assert(platform_store<http_store>);
+
+// A store inside the process, for a first try on one host. Nothing in it outlives the process.
+class memory_store
+{
+public:
+    store_value get(std::string const& key);
+    store_value compare_and_swap(std::string const& key, std::string const& value,
+                                 std::uint64_t expected);
+    store_value watch(std::string const& key, std::uint64_t index, duration wait);
+    std::uint64_t calls() const { return calls_; }
+
+private:
+    store_value read(std::string const& key) const;
+
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::map<std::string, store_value> values_;
+    std::uint64_t index_{0};
+    std::atomic<std::uint64_t> calls_{0};
+};
+static_assert(platform_store<memory_store>);
+
+} // namespace chivelever
+
+#endif
--- a/transport/transport.hpp
+++ b/transport/transport.hpp
@@ -4,8 +4,14 @@
 #define CHIVELEVER_TRANSPORT_TRANSPORT_HPP
 
 // IWYU pragma: begin_exports
-#include "coordination/coordination.hpp"
-#include "protocol/protocol.hpp"
+#include "transport/http_client.hpp"
+#include "transport/http_server.hpp"
+#include "transport/log.hpp"
+#include "transport/metrics.hpp"
+#include "transport/peer_rpc.hpp"
+#include "transport/store_client.hpp"
+#include "transport/timers.hpp"
+#include "transport/udp.hpp"
 // IWYU pragma: end_exports
 
 #endif
