Add the cluster view, the router and the flow issuer

Cause: the daemon needs one decision per packet that any host can take without per-flow state. All upstream addresses pass through one function that checks the rule that a packet never reaches another service.

--- /dev/null
+++ b/coordination/cluster_view.cpp
@@ -0,0 +1,65 @@
+#include "coordination/cluster_view.hpp"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace chivelever
+{
+
+cluster_view::cluster_view(host_instance self, zone_id zone, std::vector<cluster_entry> entries)
+    : self_(self), zone_(zone), entries_(std::move(entries))
+{
+    bool const listed =
+        std::any_of(entries_.begin(), entries_.end(),
+                    [self](cluster_entry const& e) { return e.who.host == self.host; });
+    if (!listed)
+        entries_.push_back({self, zone, host_state::live, true, {}});
+    std::sort(entries_.begin(), entries_.end(),
+              [](cluster_entry const& a, cluster_entry const& b)
+              { return std::tie(a.zone, a.who.host) < std::tie(b.zone, b.who.host); });
+    for (std::size_t i = 0; i < entries_.size(); ++i)
+    {
+        std::size_t const host = entries_[i].who.host.value;
+        if (host >= index_.size())
+            index_.resize(host + 1, absent);
+        index_[host] = static_cast<std::uint16_t>(i);
+    }
+}
+
+std::span<cluster_entry const> cluster_view::zone_hosts(zone_id id) const
+{
+    auto const first =
+        std::lower_bound(entries_.begin(), entries_.end(), id,
+                         [](cluster_entry const& e, zone_id z) { return e.zone < z; });
+    auto const last = std::upper_bound(
+        first, entries_.end(), id, [](zone_id z, cluster_entry const& e) { return z < e.zone; });
+    return {first, last};
+}
+
+cluster_entry const* cluster_view::find(host_id id) const
+{
+    if (id.value >= index_.size() || index_[id.value] == absent)
+        return nullptr;
+    return &entries_[index_[id.value]];
+}
+
+cluster_entry const* cluster_view::holder(pool_id pool) const
+{
+    cluster_entry const* best = nullptr;
+    std::uint64_t best_score = 0;
+    for (cluster_entry const& e : zone_hosts(pool.zone))
+    {
+        if (!e.alive || e.state == host_state::leaving)
+            continue;
+        std::uint64_t const score = hash_pair(pool.packed(), e.who.host.value);
+        if (best == nullptr || score > best_score)
+        {
+            best = &e;
+            best_score = score;
+        }
+    }
+    return best;
+}
+
+} // namespace chivelever
--- /dev/null
+++ b/coordination/cluster_view.hpp
@@ -0,0 +1,56 @@
+// What one host knows about the other hosts, as an immutable snapshot for the packet threads.
+#ifndef CHIVELEVER_COORDINATION_CLUSTER_VIEW_HPP
+#define CHIVELEVER_COORDINATION_CLUSTER_VIEW_HPP
+
+#include "state/state.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <vector>
+
+namespace chivelever
+{
+
+// One host as seen from here. Run 0 means that the incarnation is unknown.
+struct cluster_entry
+{
+    host_instance who;
+    zone_id zone;
+    host_state state{host_state::live};
+    bool alive{true};
+    endpoint packet; // where it receives packets
+    auto operator<=>(cluster_entry const&) const = default;
+};
+
+// Built by membership at each change of its judgement and shared through a shared_ptr, so that the
+// packet threads read it without a lock.
+class cluster_view
+{
+public:
+    // An entry for `self` is added if there is none: a host always knows itself to be alive. A
+    // leaving host passes its own entry with that state.
+    cluster_view(host_instance self, zone_id zone, std::vector<cluster_entry> entries);
+
+    host_instance self() const { return self_; }
+    zone_id zone() const { return zone_; }
+    std::span<cluster_entry const> hosts() const { return entries_; }
+    std::span<cluster_entry const> zone_hosts(zone_id id) const;
+    cluster_entry const* find(host_id id) const;
+    // The host that admits to the pool: the first of the pool's zone by rendezvous hashing that is
+    // alive and not leaving. Nothing exclusive depends on it; exclusivity comes from the lease.
+    cluster_entry const* holder(pool_id pool) const;
+
+private:
+    static constexpr std::uint16_t absent = UINT16_MAX;
+
+    host_instance self_;
+    zone_id zone_;
+    std::vector<cluster_entry> entries_; // ordered by zone, then host
+    std::vector<std::uint16_t> index_;   // host id -> place in entries_, or absent
+};
+using view_ptr = std::shared_ptr<cluster_view const>;
+
+} // namespace chivelever
+
+#endif
--- a/coordination/coordination.hpp
+++ b/coordination/coordination.hpp
@@ -3,7 +3,9 @@
 #define CHIVELEVER_COORDINATION_COORDINATION_HPP
 
 // IWYU pragma: begin_exports
+#include "coordination/cluster_view.hpp"
 #include "coordination/concepts.hpp"
+#include "coordination/router.hpp"
 // IWYU pragma: end_exports
 
 #endif
--- /dev/null
+++ b/coordination/router.cpp
@@ -0,0 +1,455 @@
+#include "coordination/router.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace chivelever
+{
+
+namespace
+{
+
+constexpr std::uint64_t ramp_draw_seed = 0x72616d70; // keeps the ramp's draw apart from the choice
+
+// Everything a decision depends on, passed down as one argument.
+struct decision_input
+{
+    packet_view const& packet;
+    endpoint source;
+    routing_table const& table;
+    cluster_view const& view;
+    zone_ramp const& ramp;
+    std::uint64_t key;
+    time_point now;
+};
+
+route drop(drop_reason reason)
+{
+    route r;
+    r.reason = reason;
+    return r;
+}
+
+route reply(packet_view const& p, packet_kind kind, packet_status status)
+{
+    if (!p.caller.is_set())
+        return drop(drop_reason::no_caller);
+    route r;
+    r.verb = route_verb::reply;
+    r.reply = kind;
+    r.status = status;
+    r.to = p.caller;
+    return r;
+}
+
+route local(route_verb verb, pool_id pool)
+{
+    route r;
+    r.verb = verb;
+    r.pool = pool;
+    return r;
+}
+
+// Where a host receives packets; unset if it is not alive, unknown, or in a zone that is out.
+endpoint reach(decision_input const& in, host_id host)
+{
+    if (cluster_entry const* const e = in.view.find(host))
+        return e->alive && !in.table.zone_is_out(e->zone) ? e->packet : endpoint{};
+    // A host that is listed but was never heard of may have joined just now.
+    listed_host const* const listed = in.table.find(host);
+    return listed != nullptr && !in.table.zone_is_out(listed->zone) ? listed->packet : endpoint{};
+}
+
+route to_host(decision_input const& in, endpoint to)
+{
+    if (in.packet.hops >= max_hops)
+        return drop(drop_reason::hop_limit);
+    route r;
+    r.verb = route_verb::to_host;
+    r.to = to;
+    return r;
+}
+
+// The only place where a packet gets an upstream's address. `owner` is the upstream that has the
+// address in this host's table.
+route to_upstream(route_verb verb, flow_id const& id, upstream_config const* owner)
+{
+    bool const same = owner == nullptr || owner->service == id.service;
+    invariants::check(same, "a packet never reaches another service", "router");
+    if (!same)
+        return drop(drop_reason::other_service);
+    route r;
+    r.verb = verb;
+    r.to = id.address;
+    r.pool = {id.service, id.zone};
+    r.upstream = id.upstream;
+    return r;
+}
+
+enum class id_standing : std::uint8_t
+{
+    valid,
+    gone,       // the address is no longer that of the flow's upstream
+    zone_out,   // operators took the upstream's zone out
+    stale_table // this table is older than the id and contradicts it
+};
+
+// Whether a packet of this stream or upload may go to the address in the id.
+id_standing standing(routing_table const& table, flow_id const& id, upstream_config const* owner)
+{
+    if (table.zone_is_out(id.zone))
+        return id_standing::zone_out;
+    if (table.rev() < id.config)
+        // A newer host vouched for the address, unless it is another service's here.
+        return owner != nullptr && owner->service != id.service ? id_standing::stale_table
+                                                                : id_standing::valid;
+    upstream_config const* const u = table.find(id.upstream);
+    if (u == nullptr || u->owner != id.upstream_owner || u->service != id.service ||
+        u->address != id.address)
+        return id_standing::gone;
+    if (owner != u && owner != nullptr)
+        return id_standing::gone; // retired, and its address has another owner by now
+    return table.zone_is_out(u->zone) ? id_standing::zone_out : id_standing::valid;
+}
+
+// Closes pass through the pool's holder, which counts the flows of each upstream, and go on to the
+// upstream from there. After one hop they are taken as arrived, so that hosts with different views
+// do not pass them around.
+route close_stream(decision_input const& in, flow_id const& id, upstream_config const* owner)
+{
+    cluster_entry const* const holder = in.view.holder({id.service, id.zone});
+    bool const here = in.packet.hops > 0 || (holder != nullptr && holder->who == in.view.self());
+    if (!here && holder != nullptr && holder->packet.is_set())
+        return to_host(in, holder->packet);
+    return to_upstream(here ? route_verb::local_close : route_verb::to_upstream, id, owner);
+}
+
+route caller_to_upstream(decision_input const& in, flow_id const& id)
+{
+    packet_kind const kind = in.packet.kind;
+    if (kind != packet_kind::data && kind != packet_kind::close)
+        return drop(kind == packet_kind::request || kind == packet_kind::cancel
+                        ? drop_reason::wrong_kind
+                        : drop_reason::wrong_source);
+    upstream_config const* const owner = in.table.owner_of(id.address);
+    switch (standing(in.table, id, owner))
+    {
+    case id_standing::valid:
+        return kind == packet_kind::close ? close_stream(in, id, owner)
+                                          : to_upstream(route_verb::to_upstream, id, owner);
+    case id_standing::gone:
+        return reply(in.packet, packet_kind::given_up, packet_status::upstream_gone);
+    case id_standing::zone_out:
+        return reply(in.packet, packet_kind::given_up, packet_status::zone_out);
+    case id_standing::stale_table:
+        break;
+    }
+    endpoint const issuer = reach(in, id.issuer.host);
+    if (id.issuer.host == in.view.self().host || !issuer.is_set())
+        return drop(drop_reason::stale_table); // the caller resends; the table catches up
+    return to_host(in, issuer);
+}
+
+// Streams and uploads: the id names the upstream, so any host forwards without state.
+route decide_stream(decision_input const& in, flow_id const& id)
+{
+    packet_kind const kind = in.packet.kind;
+    if (!in.packet.caller.is_set())
+        return drop(drop_reason::no_caller);
+    if (in.source != id.address)
+        return caller_to_upstream(in, id);
+    if (kind != packet_kind::data && kind != packet_kind::answer && kind != packet_kind::close &&
+        kind != packet_kind::given_up)
+        return drop(drop_reason::wrong_kind);
+    route r;
+    r.verb = route_verb::to_caller;
+    r.to = in.packet.caller;
+    return r;
+}
+
+// The id of a request flow names no upstream, so any upstream of its pool may answer; the pool
+// matches the answer to the attempt.
+route decide_answer(decision_input const& in, pool_id pool)
+{
+    auto const upstreams = in.table.pool(pool);
+    bool const known = std::any_of(upstreams.begin(), upstreams.end(),
+                                   [&](auto const* u) { return u->address == in.source; });
+    return known ? local(route_verb::local_answer, pool) : drop(drop_reason::wrong_source);
+}
+
+// The executor's incarnation is gone. Only it knew which requests ran, so nothing but an idempotent
+// request may go on to another host.
+route without_executor(decision_input const& in, pool_id pool, route_verb verb)
+{
+    if (in.packet.kind == packet_kind::close)
+        return drop(drop_reason::executor_gone);
+    if (!in.packet.idempotent)
+        return reply(in.packet, packet_kind::answer, packet_status::outcome_unknown);
+    cluster_entry const* const holder = in.view.holder(pool);
+    if (holder == nullptr) // not a "not run": an earlier copy may have run
+        return reply(in.packet, packet_kind::given_up, packet_status::upstream_gone);
+    if (holder->who == in.view.self())
+        return local(verb, pool);
+    return to_host(in, holder->packet);
+}
+
+// Request flows: requests, cancels and closes go to the executor that the id names.
+route decide_request(decision_input const& in, flow_id const& id)
+{
+    pool_id const pool{id.service, id.zone};
+    route_verb verb{};
+    switch (in.packet.kind)
+    {
+    case packet_kind::answer:
+        return decide_answer(in, pool);
+    case packet_kind::request:
+        verb = route_verb::local_request;
+        break;
+    case packet_kind::cancel:
+        verb = route_verb::local_cancel;
+        break;
+    case packet_kind::close:
+        verb = route_verb::local_close;
+        break;
+    default:
+        return drop(drop_reason::wrong_kind);
+    }
+    if (!in.packet.caller.is_set())
+        return drop(drop_reason::no_caller);
+    if (in.table.zone_is_out(id.zone))
+        return in.packet.kind == packet_kind::close
+                   ? drop(drop_reason::zone_out)
+                   : reply(in.packet, packet_kind::given_up, packet_status::zone_out);
+    if (id.issuer == in.view.self())
+        return local(verb, pool);
+    // A live host whose incarnation differs in this view gets the packet all the same: the view may
+    // lag behind a restart, and the host itself knows.
+    endpoint const executor =
+        id.issuer.host == in.view.self().host ? endpoint{} : reach(in, id.issuer.host);
+    return executor.is_set() ? to_host(in, executor) : without_executor(in, pool, verb);
+}
+
+bool has_room_for_new_work(routing_table const& table, pool_id pool)
+{
+    auto const upstreams = table.pool(pool);
+    return std::any_of(upstreams.begin(), upstreams.end(),
+                       [&](auto const* u) { return table.takes_new_work(*u); });
+}
+
+// Preference of a zone for one open, higher first; negative if the zone takes none.
+double zone_score(decision_input const& in, zone_id zone, bool spill)
+{
+    service_id const service = in.packet.service;
+    if (in.table.zone_is_out(zone) || !has_room_for_new_work(in.table, {service, zone}))
+        return -1;
+    double const weight =
+        static_cast<double>(effective(in.table.config(), setting::weight, service, zone));
+    if (weight <= 0)
+        return -1;
+    double const share = in.ramp.share(zone, in.now);
+    if (zone != in.view.zone())
+        return rendezvous_score(in.key, zone.value, weight * share);
+    // An open that was sent here by another host has passed the ramp there.
+    std::uint64_t const draw = hash_pair(in.key, ramp_draw_seed);
+    bool const kept = !spill || in.packet.hops > 0 ||
+                      static_cast<double>(draw) <
+                          share * static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+    return kept || share >= 1 ? std::numeric_limits<double>::infinity() : 0;
+}
+
+struct zone_choice
+{
+    std::optional<zone_id> zone; // best zone
+    std::optional<zone_id> held; // best zone that has a holder
+    cluster_entry const* holder{};
+};
+
+// Own zone first, then the others by weight. A zone without a live host may be cut off, so zones
+// with a holder come first.
+zone_choice choose_zone(decision_input const& in)
+{
+    service_id const service = in.packet.service;
+    auto const zones = in.table.zones_of(service);
+    bool const spill = effective(in.table.config(), setting::spill_to_other_zones, service) != 0;
+    bool const at_home = std::find(zones.begin(), zones.end(), in.view.zone()) != zones.end();
+    zone_choice best;
+    double best_score = -1;
+    double best_held_score = -1;
+    for (zone_id const zone : zones)
+    {
+        if (!spill && at_home && zone != in.view.zone())
+            continue;
+        double const score = zone_score(in, zone, spill);
+        if (score > best_score)
+        {
+            best.zone = zone;
+            best_score = score;
+        }
+        if (score <= best_held_score)
+            continue;
+        if (cluster_entry const* const holder = in.view.holder({service, zone}))
+        {
+            best.held = zone;
+            best.holder = holder;
+            best_held_score = score;
+        }
+    }
+    return best;
+}
+
+route decide_open(decision_input const& in)
+{
+    packet_view const& p = in.packet;
+    if (!p.caller.is_set())
+        return drop(drop_reason::no_caller);
+    if (p.flow < flow_kind::stream || p.flow > flow_kind::request)
+        return drop(drop_reason::wrong_kind);
+    if (in.table.find(p.service) == nullptr)
+        return reply(p, packet_kind::refused, packet_status::unknown_service);
+    zone_choice const choice = choose_zone(in);
+    if (!choice.zone)
+        return reply(p, packet_kind::refused, packet_status::not_run_no_upstream);
+    if (choice.held)
+    {
+        if (choice.holder->who == in.view.self())
+            return local(route_verb::local_open, {p.service, *choice.held});
+        if (p.hops < max_hops && choice.holder->packet.is_set())
+            return to_host(in, choice.holder->packet);
+    }
+    if (p.flow == flow_kind::request)
+        return reply(p, packet_kind::refused,
+                     choice.held ? packet_status::not_run_moved
+                                 : packet_status::not_run_no_upstream);
+    return router::fallback_open(p, in.table, {p.service, choice.held.value_or(*choice.zone)},
+                                 in.key);
+}
+
+} // namespace
+
+std::string_view to_string(drop_reason reason)
+{
+    constexpr std::array<std::string_view, static_cast<std::size_t>(drop_reason::count)> names{
+        "none",         "forged",    "wrong_kind",  "wrong_source",  "service_mismatch",
+        "no_caller",    "hop_limit", "stale_table", "executor_gone", "zone_out",
+        "other_service"};
+    auto const i = static_cast<std::size_t>(reason);
+    return i < names.size() ? names[i] : "unknown";
+}
+
+zone_ramp zone_ramp::updated(routing_table const& table, time_point now) const
+{
+    zone_ramp next;
+    for (zone_config const& z : table.config().zones)
+    {
+        if (z.state != zone_state::returning)
+            continue;
+        auto const known = std::find_if(returning_.begin(), returning_.end(),
+                                        [&](entry const& e)
+                                        { return e.zone == z.id && e.changed_at == z.changed_at; });
+        auto const seconds = effective(table.config(), setting::zone_ramp_seconds, {}, z.id);
+        next.returning_.push_back({z.id, z.changed_at,
+                                   known == returning_.end() ? now : known->since,
+                                   std::chrono::seconds(seconds)});
+    }
+    return next;
+}
+
+double zone_ramp::share(zone_id zone, time_point now) const
+{
+    for (entry const& e : returning_)
+    {
+        if (e.zone != zone)
+            continue;
+        if (now >= e.since + e.length)
+            return 1;
+        double const part =
+            static_cast<double>((now - e.since).count()) / static_cast<double>(e.length.count());
+        return first_share + (1 - first_share) * std::max(part, 0.0);
+    }
+    return 1;
+}
+
+route router::decide(packet_view const& p, endpoint source, routing_table const& table,
+                     cluster_view const& view, zone_ramp const& ramp, std::uint64_t key,
+                     time_point now) const
+{
+    decision_input const in{p, source, table, view, ramp, key, now};
+    if (p.kind == packet_kind::open)
+        return decide_open(in);
+    if (p.kind == packet_kind::opened || p.kind == packet_kind::refused)
+        return drop(drop_reason::wrong_kind);
+    auto const id = table.signer().open(p.flow_id);
+    if (!id)
+        return drop(drop_reason::forged);
+    if (p.service.value != 0 && p.service != id->service)
+        return drop(drop_reason::service_mismatch);
+    route r;
+    if (id->kind == flow_kind::request)
+        r = decide_request(in, *id);
+    else if (id->kind == flow_kind::stream || id->kind == flow_kind::upload)
+        r = decide_stream(in, *id);
+    else
+        r = drop(drop_reason::wrong_kind);
+    r.id = *id;
+    return r;
+}
+
+route router::fallback_open(packet_view const& p, routing_table const& table, pool_id pool,
+                            std::uint64_t key)
+{
+    upstream_config const* best = nullptr;
+    double best_score = 0;
+    for (upstream_config const* const u : table.pool(pool))
+    {
+        if (!table.takes_new_work(*u))
+            continue;
+        double const weight = static_cast<double>(
+            effective(table.config(), setting::weight, u->service, u->zone, u->id));
+        double const score = rendezvous_score(key, u->id.value, weight);
+        if (score > best_score)
+        {
+            best = u;
+            best_score = score;
+        }
+    }
+    if (best == nullptr)
+        return reply(p, packet_kind::refused, packet_status::not_run_no_upstream);
+    route r = local(route_verb::local_fallback_open, pool);
+    r.upstream = best->id;
+    return r;
+}
+
+flow_id flow_issuer::next(flow_kind kind, routing_table const& table)
+{
+    flow_id id;
+    id.kind = kind;
+    id.key_epoch = static_cast<std::uint8_t>(table.signer().epoch());
+    id.issuer = self_;
+    id.config = table.rev();
+    id.serial = serial_.fetch_add(1, std::memory_order_relaxed);
+    return id;
+}
+
+encoded_flow_id flow_issuer::stream(flow_kind kind, upstream_config const& upstream,
+                                    routing_table const& table)
+{
+    flow_id id = next(kind, table);
+    id.zone = upstream.zone;
+    id.service = upstream.service;
+    id.upstream = upstream.id;
+    id.upstream_owner = upstream.owner;
+    id.address = upstream.address;
+    return table.signer().seal(id);
+}
+
+encoded_flow_id flow_issuer::request(pool_id pool, std::uint32_t expires_ms,
+                                     routing_table const& table)
+{
+    flow_id id = next(flow_kind::request, table);
+    id.zone = pool.zone;
+    id.service = pool.service;
+    id.expires_ms = expires_ms;
+    return table.signer().seal(id);
+}
+
+} // namespace chivelever
--- /dev/null
+++ b/coordination/router.hpp
@@ -0,0 +1,122 @@
+// Where each packet goes: the routing decisions of all flow kinds.
+#ifndef CHIVELEVER_COORDINATION_ROUTER_HPP
+#define CHIVELEVER_COORDINATION_ROUTER_HPP
+
+#include "coordination/cluster_view.hpp"
+#include "state/state.hpp"
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace chivelever
+{
+
+// What the driver does with a packet. Only the field comments name the fields that are set.
+enum class route_verb : std::uint8_t
+{
+    drop,                // count `reason`
+    to_upstream,         // forward to `to`
+    to_host,             // forward to `to` with hops + 1
+    to_caller,           // forward to `to`
+    reply,               // send `reply` with `status` to `to`
+    local_open,          // this host is the holder of `pool`
+    local_fallback_open, // no holder is known: open a stream or upload to `upstream` of `pool`
+    local_request,       // execute in `pool`
+    local_cancel,
+    local_answer, // an upstream's answer to an attempt of `pool`
+    local_close   // the flow ends; forward to `to` if it is set
+};
+
+enum class drop_reason : std::uint8_t
+{
+    none,
+    forged,           // length, layout, key epoch or signature of the flow id
+    wrong_kind,       // the packet kind does not occur in this direction or flow kind
+    wrong_source,     // an answer that does not come from the flow's upstream
+    service_mismatch, // the packet names another service than its flow id
+    no_caller,        // nobody to answer to
+    hop_limit,
+    stale_table,   // the address belongs to another service here and the issuer is out of reach
+    executor_gone, // end of a flow whose executor no longer exists
+    zone_out,
+    other_service, // an invariant would have been violated
+    count
+};
+std::string_view to_string(drop_reason reason);
+
+struct route
+{
+    route_verb verb{route_verb::drop};
+    drop_reason reason{drop_reason::none};
+    packet_kind reply{};
+    packet_status status{};
+    endpoint to;
+    pool_id pool;
+    upstream_id upstream;
+    flow_id id; // decoded; for packets that carry one
+};
+
+// Since when each returning zone has been seen as returning, and over what time its share of new
+// work grows. An immutable value: `updated` gives the next one when a new table is installed.
+class zone_ramp
+{
+public:
+    zone_ramp updated(routing_table const& table, time_point now) const;
+    // Share of new work that the zone takes, from first_share to 1.
+    double share(zone_id zone, time_point now) const;
+
+    static constexpr double first_share = 0.1;
+
+private:
+    struct entry
+    {
+        zone_id zone;
+        revision changed_at; // a second return starts a new ramp
+        time_point since;
+        duration length;
+    };
+    std::vector<entry> returning_;
+};
+
+// Decides from the packet, the table and the view alone; holds no state, so that any host can serve
+// any packet of a flow and nothing is lost with a host.
+class router
+{
+public:
+    // `key` spreads new work: the hash of the caller and a serial number. `source` is the address
+    // that the packet came from.
+    route decide(packet_view const& p, endpoint source, routing_table const& table,
+                 cluster_view const& view, zone_ramp const& ramp, std::uint64_t key,
+                 time_point now) const;
+
+    // The upstream that this host picks for a stream or upload when the pool has no holder with a
+    // lease; refused if none takes new work.
+    static route fallback_open(packet_view const& p, routing_table const& table, pool_id pool,
+                               std::uint64_t key);
+};
+
+// Issues flow ids under the table's present key.
+class flow_issuer
+{
+public:
+    explicit flow_issuer(host_instance self) : self_(self) {}
+
+    encoded_flow_id stream(flow_kind kind, upstream_config const& upstream,
+                           routing_table const& table);
+    // `expires_ms` is on this host's clock.
+    encoded_flow_id request(pool_id pool, std::uint32_t expires_ms, routing_table const& table);
+
+private:
+    flow_id next(flow_kind kind, routing_table const& table);
+
+    host_instance self_;
+    std::atomic<std::uint32_t> serial_{0};
+};
+
+} // namespace chivelever
+
+#endif
