--- /dev/null
+++ b/protocol/ini_lines.hpp
@@ -0,0 +1,28 @@
+// Line numbers of the keys of an INI text, which Boost.PropertyTree does not keep.
+#ifndef CHIVELEVER_PROTOCOL_INI_LINES_HPP
+#define CHIVELEVER_PROTOCOL_INI_LINES_HPP
+
+#include "state/state.hpp"
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace chivelever
+{
+
+struct ini_lines
+{
+    std::map<std::pair<std::string, std::string>, int> keys; // (section, key) -> line
+    std::map<std::string, int> sections;
+    std::string text; // the input with refused lines blanked out, so that parsing goes on past them
+    findings problems;
+};
+
+// Reports lines that are no INI, and sections and keys that occur twice.
+ini_lines scan_ini(std::string_view text, std::string const& file);
+
+} // namespace chivelever
+
+#endif
--- a/state/state.hpp
+++ b/state/state.hpp
@@ -4,6 +4,7 @@
 #define CHIVELEVER_STATE_STATE_HPP
 
 // IWYU pragma: begin_exports
+#include "state/checked.hpp"
 #include "state/config.hpp"
 #include "state/events.hpp"
 #include "state/findings.hpp"
