Add the pool: admission, request execution and the ledger

Cause: the daemon needs the decisions of one pool on its holder. Change: upstream limit controller, retry budget, ledger of outcomes, and the pool that issues flow ids and runs request flows in one queue under a lease. The limit falls after 4 slow answers in a row instead of one, because service times with a long tail exceed three medians now and then.

--- a/coordination/coordination.hpp
+++ b/coordination/coordination.hpp
@@ -4,6 +4,10 @@
 
 // IWYU pragma: begin_exports
 #include "coordination/concepts.hpp"
+#include "coordination/ledger.hpp"
+#include "coordination/pool.hpp"
+#include "coordination/retry_budget.hpp"
+#include "coordination/upstream_limit.hpp"
 // IWYU pragma: end_exports
 
 #endif
--- /dev/null
+++ b/coordination/pool.cpp
@@ -0,0 +1,333 @@
+#include "coordination/pool.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace chivelever
+{
+
+namespace
+{
+// A caller that repeats an open within this time gets the same flow again.
+constexpr duration open_repeat_window = std::chrono::seconds(2);
+constexpr std::size_t max_recent_opens = 4096;
+// A flow whose close was lost stops counting after this time.
+constexpr duration flow_count_age = std::chrono::hours(1);
+// An upstream that has just joined gets at most twice its share of new flows for this time; without
+// the bound it would get all of them until its count has caught up.
+constexpr duration flow_warm_up = std::chrono::seconds(10);
+
+std::uint32_t clock_ms(time_point t)
+{
+    return static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(t.time_since_epoch()).count());
+}
+} // namespace
+
+pool::pool(pool_id id, host_instance self, std::uint32_t first_serial, std::uint32_t attempt_seed,
+           ledger_limits limits)
+    : id_(id), self_(self), first_serial_(first_serial), next_serial_(first_serial),
+      oldest_counted_(first_serial), next_attempt_((std::uint64_t{attempt_seed} << 32) + 1),
+      ledger_(limits)
+{
+}
+
+std::int64_t pool::effective_setting(setting key) const
+{
+    return effective(table_->config(), key, id_.service, id_.zone);
+}
+
+std::uint32_t pool::index_of(upstream_id id) const
+{
+    for (std::size_t i = 0; i < upstreams_.size(); ++i)
+        if (upstreams_[i].config.id == id)
+            return static_cast<std::uint32_t>(i);
+    return none;
+}
+
+void pool::update(table_ptr table, time_point now)
+{
+    table_ = std::move(table);
+    budget_.set_percent(effective_setting(setting::retry_budget_percent));
+    for (upstream& u : upstreams_)
+        u.takes_work = u.takes_work && table_->find(u.config.id) != nullptr;
+    for (upstream_config const* const u : table_->pool(id_))
+        refresh(*u, now);
+}
+
+// Takes over one upstream's configuration. A new owner of the address, and an upstream that
+// returns to work, start cold.
+void pool::refresh(upstream_config const& u, time_point now)
+{
+    std::uint32_t index = index_of(u.id);
+    if (index == none)
+    {
+        auto const unused = std::find_if(upstreams_.begin(), upstreams_.end(),
+                                         [this](upstream const& k) {
+                                             return table_->find(k.config.id) == nullptr &&
+                                                    k.occupied() + k.flows == 0;
+                                         });
+        index = static_cast<std::uint32_t>(unused - upstreams_.begin());
+        if (unused == upstreams_.end())
+            upstreams_.emplace_back();
+        else
+            *unused = {};
+    }
+    upstream& known = upstreams_[index];
+    double const weight = static_cast<double>(
+        effective(table_->config(), setting::weight, id_.service, id_.zone, u.id));
+    bool const takes_work = table_->takes_new_work(u) && weight > 0;
+    if (known.config.owner != u.owner || (takes_work && !known.takes_work))
+    {
+        known.limit.start_cold(now);
+        known.joined = now;
+    }
+    known.config = u;
+    known.takes_work = takes_work;
+    known.weight = weight;
+    auto const number = [&](setting key)
+    {
+        return static_cast<std::uint16_t>(
+            std::clamp<std::int64_t>(effective(table_->config(), key, id_.service, id_.zone, u.id),
+                                     1, std::numeric_limits<std::uint16_t>::max()));
+    };
+    known.limit.configure({u.slots, number(setting::cold_limit), number(setting::warm_up_answers)});
+}
+
+void pool::set_lease(std::optional<time_point> valid_until)
+{
+    lease_ = valid_until;
+    tenure_ = tenure_ || valid_until;
+}
+
+// After the loss of the lease nothing is known of the upstreams: another holder may have used them.
+void pool::end_tenure(time_point now)
+{
+    tenure_ = false;
+    lease_.reset();
+    for (upstream& u : upstreams_)
+    {
+        u.limit.start_cold(now);
+        u.last_sent = time_point::min();
+    }
+}
+
+void pool::on_open(packet_view const& p, time_point now, std::vector<send_packet>& out)
+{
+    auto const refuse = [&](packet_status status)
+    {
+        ++stats_.opens_refused;
+        reply(p, status, {}, out);
+    };
+    if (p.service != id_.service)
+    {
+        ++stats_.misrouted;
+        return;
+    }
+    std::uint64_t const repeat_key =
+        hash_pair(hash_pair(p.caller.packed(), p.request.value), static_cast<unsigned>(p.flow));
+    if (auto const it = recent_opens_.find(repeat_key);
+        p.request.value != 0 && it != recent_opens_.end() &&
+        now - it->second.opened < open_repeat_window)
+    {
+        issued_ = it->second.id;
+        send_opened(p, issued_, out);
+        return;
+    }
+    if (shutting_down_)
+        return refuse(packet_status::not_run_shutting_down);
+    if (!table_ || !holds_lease(now))
+        return refuse(packet_status::not_run_moved);
+    if (!any_takes_work())
+        return refuse(packet_status::not_run_no_upstream);
+    upstream* chosen = nullptr;
+    if (p.flow != flow_kind::request)
+    {
+        std::uint32_t const index = pick_for_flow(now);
+        if (index == none)
+            return refuse(packet_status::not_run_overloaded);
+        for (upstream& u : upstreams_)
+            ++u.opens_since_pick;
+        chosen = &upstreams_[index];
+        chosen->opens_since_pick = 0;
+        ++chosen->flows;
+        flows_.emplace(next_serial_, counted_flow{index, now});
+    }
+    issued_ = issue(p.flow, chosen, now);
+    if (p.request.value != 0 && recent_opens_.size() < max_recent_opens)
+        recent_opens_.insert_or_assign(repeat_key, recent_open{issued_, now});
+    ++stats_.opened;
+    send_opened(p, issued_, out);
+}
+
+void pool::send_opened(packet_view const& p, encoded_flow_id const& id,
+                       std::vector<send_packet>& out)
+{
+    packet_view r;
+    r.kind = packet_kind::opened;
+    r.flow = p.flow;
+    r.service = id_.service;
+    r.request = p.request;
+    r.caller = p.caller;
+    r.flow_id = as_view(id);
+    out.push_back({p.caller, r});
+}
+
+// The upstream with the fewest flows relative to its weight, within the limit of connections.
+std::uint32_t pool::pick_for_flow(time_point now) const
+{
+    auto const candidates = std::count_if(upstreams_.begin(), upstreams_.end(),
+                                          [](upstream const& u) { return u.takes_work; });
+    auto const best = [&](bool bound_warm_up)
+    {
+        std::uint32_t index = none;
+        double least = 0;
+        for (std::size_t i = 0; i < upstreams_.size(); ++i)
+        {
+            upstream const& u = upstreams_[i];
+            std::uint32_t const flows = u.flows + u.adopted_flows;
+            if (!u.takes_work || flows >= u.config.connections)
+                continue;
+            if (bound_warm_up && now - u.joined < flow_warm_up &&
+                2 * (u.opens_since_pick + 1) < static_cast<std::uint32_t>(candidates))
+                continue;
+            double const load = (flows + 1) / u.weight;
+            if (index == none || load < least)
+            {
+                index = static_cast<std::uint32_t>(i);
+                least = load;
+            }
+        }
+        return index;
+    };
+    std::uint32_t const index = best(true);
+    return index != none ? index : best(false);
+}
+
+// Issues one flow id; u is null for a request flow, whose executor is this host.
+encoded_flow_id pool::issue(flow_kind kind, upstream const* u, time_point now)
+{
+    flow_id id;
+    id.kind = kind;
+    id.zone = id_.zone;
+    id.service = id_.service;
+    id.issuer = self_;
+    id.config = table_->rev();
+    id.serial = next_serial_++;
+    if (u != nullptr)
+    {
+        id.upstream = u->config.id;
+        id.upstream_owner = u->config.owner;
+        id.address = u->config.address;
+    }
+    else
+    {
+        time_point const expires =
+            now + std::chrono::seconds(effective_setting(setting::request_flow_lifetime_s));
+        id.expires_ms = clock_ms(expires);
+        last_expiry_ = std::max(last_expiry_, expires + std::chrono::milliseconds(1));
+    }
+    return table_->signer().seal(id);
+}
+
+void pool::on_close(flow_id const& flow)
+{
+    if (flow.service != id_.service || flow.zone != id_.zone)
+    {
+        ++stats_.misrouted;
+        return;
+    }
+    if (flow.issuer == self_)
+    {
+        auto const it = flows_.find(flow.serial);
+        if (it == flows_.end())
+            return; // closed before
+        --upstreams_[it->second.upstream].flows;
+        flows_.erase(it);
+        return;
+    }
+    std::uint32_t const index = index_of(flow.upstream);
+    if (index != none && upstreams_[index].adopted_flows > 0)
+        --upstreams_[index].adopted_flows;
+}
+
+// Stops counting flows whose close must have been lost. Serial numbers are in order of time.
+void pool::expire_flows(time_point now)
+{
+    while (oldest_counted_ != next_serial_)
+    {
+        auto const it = flows_.find(oldest_counted_);
+        if (it != flows_.end())
+        {
+            if (now - it->second.opened < flow_count_age)
+                break;
+            --upstreams_[it->second.upstream].flows;
+            flows_.erase(it);
+        }
+        ++oldest_counted_;
+    }
+    std::erase_if(recent_opens_,
+                  [&](auto const& o) { return now - o.second.opened >= open_repeat_window; });
+}
+
+pool_handover pool::hand_over(time_point now)
+{
+    pool_handover h;
+    h.pool = id_;
+    h.from = self_;
+    lease_.reset();
+    for (std::size_t i = 0; i < upstreams_.size(); ++i)
+    {
+        upstream const& u = upstreams_[i];
+        outstanding_item item;
+        item.upstream = u.config.id;
+        item.count = static_cast<std::uint16_t>(u.occupied());
+        item.limit = u.limit.probing() ? std::uint16_t{0} : u.limit.limit();
+        item.flows = u.flows + u.adopted_flows;
+        time_point last = u.adopted > 0 ? u.adopted_until : now;
+        for (auto const& [id, a] : attempts_)
+            if (a.upstream == i)
+                last = std::max(last, a.deadline + std::chrono::milliseconds(1));
+        item.remaining_ms = static_cast<std::uint32_t>(
+            std::chrono::ceil<std::chrono::milliseconds>(last - now).count());
+        if (item.count != 0 || item.flows != 0 || u.takes_work)
+            h.upstreams.push_back(item);
+    }
+    return h;
+}
+
+void pool::accept(pool_handover const& h, time_point now)
+{
+    if (h.pool != id_ || h.from == self_)
+        return;
+    for (outstanding_item const& item : h.upstreams)
+    {
+        std::uint32_t const index = index_of(item.upstream);
+        if (index == none)
+            continue;
+        upstream& u = upstreams_[index];
+        u.adopted = item.count;
+        u.adopted_until = now + std::chrono::milliseconds(item.remaining_ms);
+        u.adopted_flows = item.flows;
+        if (u.last_sent == time_point::min() && item.limit > 0)
+            u.limit.adopt(item.limit);
+    }
+}
+
+pool_stats pool::stats() const
+{
+    pool_stats s = stats_;
+    s.queued = queue_.size();
+    s.ledger_entries = ledger_.size();
+    s.ledger_bytes = ledger_.payload_bytes();
+    for (upstream const& u : upstreams_)
+    {
+        s.outstanding += u.occupied();
+        s.flows += u.flows + u.adopted_flows;
+        if (u.takes_work)
+            s.limit += u.limit.limit();
+    }
+    return s;
+}
+
+} // namespace chivelever
--- /dev/null
+++ b/tests/pool_test.cpp
@@ -0,0 +1,445 @@
+// Upstream limit, ledger and pool.
+#include "coordination/coordination.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace chivelever;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+constexpr time_point start{seconds(1000)};
+constexpr pool_id desk{{1}, {1}};
+constexpr host_instance self{{1}, {77}};
+
+endpoint upstream_address(std::uint32_t i)
+{
+    return {0x7f000100 + i, 9000};
+}
+
+table_ptr make_table(std::uint32_t upstreams, std::uint16_t slots, std::uint32_t owner = 1)
+{
+    fleet_config c = empty_config();
+    c.rev = {owner};
+    c.zones.push_back({{1}, "akl"});
+    c.services.push_back({{1}, "desk"});
+    for (std::uint32_t i = 1; i <= upstreams; ++i)
+        c.upstreams.push_back(
+            {{i}, "u" + std::to_string(i), {1}, {1}, upstream_address(i), {owner}, slots, 100});
+    return std::make_shared<routing_table const>(std::move(c), host_list{}, "secret");
+}
+
+// Drives one pool and keeps copies of what it sends.
+struct fixture
+{
+    explicit fixture(std::uint32_t upstreams = 2, std::uint16_t slots = 3,
+                     ledger_limits limits = {})
+        : table(make_table(upstreams, slots)), p(desk, self, 100, 5, limits)
+    {
+        invariants::reset();
+        p.update(table, now);
+        p.set_lease(now + seconds(3600));
+        packet_view open;
+        open.kind = packet_kind::open;
+        open.flow = flow_kind::request;
+        open.service = {1};
+        open.caller = {1, 1};
+        p.on_open(open, now, out);
+        flow_bytes = std::string(out.at(0).packet.flow_id);
+        flow = *table->signer().open(flow_bytes);
+        out.clear();
+    }
+    ~fixture() { CHECK(invariants::violations() == 0); }
+
+    packet_view packet(packet_kind kind, std::uint64_t id, bool idempotent = false) const
+    {
+        packet_view r;
+        r.kind = kind;
+        r.flow = flow_kind::request;
+        r.service = {1};
+        r.request = {id};
+        r.caller = {1, 1};
+        r.deadline_ms = 1000;
+        r.idempotent = idempotent;
+        r.flow_id = flow_bytes;
+        r.payload = "order";
+        return r;
+    }
+    void request(std::uint64_t id, bool idempotent = false)
+    {
+        out.clear();
+        p.on_request(packet(packet_kind::request, id, idempotent), flow, now, out);
+    }
+    void cancel(std::uint64_t id)
+    {
+        out.clear();
+        p.on_cancel(packet(packet_kind::cancel, id), flow, now, out);
+    }
+    void answer(send_packet const& attempt, packet_status status = packet_status::ok)
+    {
+        packet_view a = packet(packet_kind::answer, attempt.packet.request.value);
+        a.status = status;
+        a.payload = "filled";
+        out.clear();
+        p.on_answer(a, attempt.to, now, out);
+    }
+    void advance(duration d)
+    {
+        now += d;
+        out.clear();
+        p.tick(now, out);
+    }
+    // The packets to upstreams among the latest output. Views stay valid: payloads are not used.
+    std::vector<send_packet> attempts() const
+    {
+        std::vector<send_packet> r;
+        for (send_packet const& s : out)
+            if (s.packet.kind == packet_kind::request)
+                r.push_back(s);
+        return r;
+    }
+    // The status sent to the caller for this request in the latest output.
+    std::optional<packet_status> status(std::uint64_t id) const
+    {
+        for (send_packet const& s : out)
+            if (s.to == endpoint{1, 1} && s.packet.request.value == id)
+                return s.packet.status;
+        return {};
+    }
+
+    time_point now{start};
+    table_ptr table;
+    pool p;
+    std::vector<send_packet> out;
+    std::string flow_bytes;
+    flow_id flow;
+};
+} // namespace
+
+TEST_CASE("an upstream's limit rises with answers on time and falls on evidence of trouble")
+{
+    upstream_limit l;
+    l.configure({3, 1, 4});
+    time_point now = start;
+    l.start_cold(now);
+    auto const answers = [&](int n, duration latency)
+    {
+        for (int i = 0; i < n; ++i, now += latency)
+            l.on_answer(now, now + latency);
+    };
+    answers(3, milliseconds(10));
+    CHECK(l.limit() == 1);
+    answers(5, milliseconds(10));
+    CHECK(l.limit() == 3);
+    answers(16, milliseconds(10));
+    CHECK(l.warm_median() == milliseconds(10));
+    SECTION("a failure leaves one probe at a time, with back-off")
+    {
+        time_point const sent = now;
+        now += milliseconds(5);
+        l.on_failure(sent, now);
+        l.on_failure(sent, now + milliseconds(1)); // same failure, no second back-off
+        CHECK_FALSE(l.may_send(0, now + milliseconds(99)));
+        CHECK(l.may_send(0, now + milliseconds(100)));
+        CHECK_FALSE(l.may_send(1, now + milliseconds(100)));
+        for (int i = 0; i < 10; ++i)
+        {
+            now = l.next_probe();
+            l.on_failure(now, now);
+        }
+        CHECK(l.next_probe() - now == seconds(2));
+        answers(1, milliseconds(10));
+        CHECK_FALSE(l.probing());
+        CHECK(l.limit() == 1);
+    }
+    SECTION("slow answers")
+    {
+        answers(1, milliseconds(31));
+        CHECK(l.limit() == 3);
+        answers(3, milliseconds(31));
+        CHECK(l.limit() == 1);
+        CHECK_FALSE(l.probing());
+    }
+    SECTION("answers to requests sent before the fall are no evidence")
+    {
+        time_point const old = now;
+        l.on_failure(old, now + milliseconds(1));
+        l.on_answer(old, now + milliseconds(2));
+        CHECK(l.probing());
+    }
+}
+
+// Guards against retries beyond their share and against lost fractions.
+TEST_CASE("the retry budget grants its share of the requests offered")
+{
+    retry_budget b;
+    b.set_percent(10);
+    CHECK_FALSE(b.take());
+    int granted = 0;
+    for (int i = 0; i < 1000; ++i)
+    {
+        b.on_offered();
+        granted += b.take() ? 1 : 0;
+    }
+    CHECK(granted == 100);
+}
+
+// Guards against a second run of a request whose outcome was dropped to save memory.
+TEST_CASE("a full ledger forgets only outcomes of idempotent requests")
+{
+    ledger l({2, 1, 1000});
+    flow_key const f{self, 1};
+    time_point const end = start + seconds(30);
+    REQUIRE(l.admit(f, end, {1}, false));
+    REQUIRE(l.admit(f, end, {2}, true));
+    CHECK(l.admit(f, end, {3}, false) == nullptr); // both are running
+    l.finish(f, {1}, packet_status::ok, "one");
+    CHECK(l.admit(f, end, {3}, false) == nullptr);
+    l.finish(f, {2}, packet_status::ok, "two");
+    CHECK(l.admit(f, end, {3}, false) != nullptr);
+    CHECK(l.find(f, {2}) == nullptr);
+    CHECK(l.find(f, {1})->payload == "one");
+    l.refuse(f, end, {4}, packet_status::not_run_overloaded);
+    CHECK_FALSE(l.barred(f, start));
+    l.refuse(f, end, {5}, packet_status::not_run_overloaded); // no room to record it
+    CHECK(l.barred(f, start));
+    l.refuse({self, 7}, end, {1}, packet_status::not_run_overloaded);
+    CHECK(l.barred({self, 6}, start));
+    CHECK_FALSE(l.barred({self, 8}, start));
+    l.expire(end);
+    CHECK(l.size() == 0);
+    CHECK(l.payload_bytes() == 0);
+}
+
+TEST_CASE("a request is answered once and its repeats get the recorded answer")
+{
+    fixture f;
+    f.request(1);
+    auto const first = f.attempts();
+    REQUIRE(first.size() == 1);
+    CHECK(first[0].packet.payload == "order");
+    CHECK(first[0].packet.deadline_ms == 1000);
+    f.request(1);
+    CHECK(f.out.empty());
+    f.answer(first[0]);
+    CHECK(f.status(1) == packet_status::ok);
+    f.request(1);
+    CHECK(f.attempts().empty());
+    CHECK(f.out.at(0).packet.payload == "filled");
+    f.answer(first[0]);
+    CHECK(f.out.empty());
+    CHECK(f.p.stats().late_answers == 1);
+}
+
+// Guards against a caller getting the answer to another request.
+TEST_CASE("answers from another upstream or flow are dropped")
+{
+    fixture f;
+    f.request(1);
+    auto const sent = f.attempts().at(0);
+    send_packet other = sent;
+    other.to = upstream_address(9);
+    f.answer(other);
+    CHECK(f.out.empty());
+    std::string const right = f.flow_bytes;
+    f.flow_bytes[20] = static_cast<char>(f.flow_bytes[20] ^ 1);
+    f.answer(sent);
+    CHECK(f.out.empty());
+    CHECK(f.p.stats().crossed_answers == 2);
+    f.flow_bytes = right;
+    f.answer(sent);
+    CHECK(f.status(1) == packet_status::ok);
+}
+
+TEST_CASE("cold upstreams get one request each and the rest waits in order")
+{
+    fixture f;
+    f.request(1);
+    f.request(2);
+    auto const second = f.attempts().at(0);
+    f.request(3);
+    f.request(4);
+    CHECK(f.attempts().empty());
+    f.answer(second);
+    CHECK(f.status(2) == packet_status::ok);
+    CHECK(f.attempts().size() == 1);
+    CHECK(f.p.stats().queued == 1);
+    f.advance(milliseconds(996)); // too little time left for an attempt
+    CHECK(f.status(4) == packet_status::not_run_overloaded);
+}
+
+// Guards against orders that run twice.
+TEST_CASE("a non-idempotent request that timed out ends as unknown and is not tried again")
+{
+    fixture f;
+    f.request(1);
+    auto const sent = f.attempts().at(0);
+    f.advance(milliseconds(1000));
+    CHECK(f.status(1) == packet_status::outcome_unknown);
+    f.answer(sent);
+    f.request(1);
+    CHECK(f.attempts().empty());
+    CHECK(f.status(1) == packet_status::outcome_unknown);
+}
+
+TEST_CASE("a shed request is tried elsewhere within the budget, otherwise it was not run")
+{
+    fixture f;
+    f.request(1);
+    f.answer(f.attempts().at(0), packet_status::shed);
+    CHECK(f.status(1) == packet_status::not_run_overloaded); // no budget yet
+    f.advance(milliseconds(100));
+    for (std::uint64_t id = 2; id < 12; ++id)
+    {
+        f.request(id);
+        f.answer(f.attempts().at(0));
+    }
+    f.request(12);
+    auto const sent = f.attempts().at(0);
+    f.answer(sent, packet_status::shed);
+    auto const again = f.attempts();
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].to != sent.to);
+    CHECK(again[0].packet.request != sent.packet.request);
+    f.answer(again[0]);
+    CHECK(f.status(12) == packet_status::ok);
+}
+
+TEST_CASE("a cancel removes a queued request, reaches a running one and precedes a late one")
+{
+    fixture f(1);
+    f.request(1);
+    auto const running = f.attempts().at(0);
+    f.request(2);
+    f.cancel(2);
+    CHECK(f.status(2) == packet_status::cancelled);
+    f.cancel(1);
+    REQUIRE(f.out.size() == 1);
+    CHECK(f.out[0].to == running.to);
+    CHECK(f.out[0].packet.request == running.packet.request);
+    f.answer(running, packet_status::cancelled);
+    CHECK(f.status(1) == packet_status::cancelled);
+    f.cancel(3);
+    f.request(3); // overtaken by its cancel
+    CHECK(f.attempts().empty());
+    CHECK(f.status(3) == packet_status::cancelled);
+}
+
+// Guards against two holders working on a pool at the same time.
+TEST_CASE("nothing is dispatched without a lease, and no work outlives it")
+{
+    fixture f(1);
+    f.p.set_lease(f.now + milliseconds(500));
+    f.request(1);
+    CHECK(f.attempts().at(0).packet.deadline_ms == 400);
+    f.request(2);
+    f.advance(milliseconds(400));
+    CHECK(f.status(1) == packet_status::outcome_unknown);
+    f.advance(milliseconds(100));
+    CHECK(f.status(2) == packet_status::not_run_moved);
+    f.request(3);
+    CHECK(f.status(3) == packet_status::not_run_moved);
+    f.p.set_lease(f.now + seconds(2));
+    f.request(3); // the refusal stays true under a new lease
+    CHECK(f.status(3) == packet_status::not_run_moved);
+    CHECK(f.p.idle());
+}
+
+TEST_CASE("requests of expired flows and of dead executors have an unknown outcome")
+{
+    fixture f;
+    f.flow.issuer.run = {76};
+    f.request(1);
+    CHECK(f.status(1) == packet_status::outcome_unknown);
+    f.request(2, true);
+    CHECK(f.attempts().size() == 1);
+    f.flow.issuer = self;
+    f.advance(seconds(30));
+    f.request(3);
+    CHECK(f.status(3) == packet_status::outcome_unknown);
+}
+
+TEST_CASE("a full queue refuses the request with the least time left")
+{
+    fixture f(1);
+    f.request(1);
+    packet_view soon = f.packet(packet_kind::request, 2);
+    soon.deadline_ms = 500;
+    f.p.on_request(soon, f.flow, f.now, f.out);
+    for (std::uint64_t id = 3; id <= 257; ++id)
+        f.request(id);
+    CHECK(f.p.stats().queued == 256);
+    f.request(258);
+    CHECK(f.status(2) == packet_status::not_run_overloaded);
+    CHECK(f.p.stats().queued == 256);
+}
+
+TEST_CASE("a successor counts handed-over work as occupied and keeps the limits")
+{
+    fixture f(1);
+    for (std::uint64_t id = 1; id <= 8; ++id)
+    {
+        f.request(id);
+        f.answer(f.attempts().at(0));
+    }
+    f.request(9);
+    f.request(10);
+    pool_handover const h = f.p.hand_over(f.now);
+    f.request(11);
+    CHECK(f.status(11) == packet_status::not_run_moved);
+    REQUIRE(h.upstreams.size() == 1);
+    CHECK(h.upstreams[0].count == 2);
+    CHECK(h.upstreams[0].limit == 3);
+    fixture next(1);
+    pool_handover from = h;
+    from.from = {{2}, {5}};
+    next.p.accept(from, next.now);
+    next.request(1);
+    CHECK(next.attempts().size() == 1);
+    next.request(2);
+    CHECK(next.attempts().empty());
+    next.advance(milliseconds(1021)); // the previous holder's work has ended
+    CHECK(next.p.stats().outstanding == 0);
+}
+
+TEST_CASE("flows go to the upstream with the fewest, and closes count once")
+{
+    fixture f(4);
+    packet_view open = f.packet(packet_kind::open, 0);
+    open.flow = flow_kind::stream;
+    std::vector<flow_id> flows;
+    for (int i = 0; i < 400; ++i)
+    {
+        f.out.clear();
+        f.p.on_open(open, f.now, f.out);
+        flows.push_back(*f.table->signer().open(f.out.at(0).packet.flow_id));
+    }
+    std::unordered_map<upstream_id, int> count;
+    for (flow_id const& id : flows)
+        ++count[id.upstream];
+    for (auto const& [id, n] : count)
+        CHECK(n == 100);
+    f.out.clear();
+    f.p.on_open(open, f.now, f.out); // every connection is in use
+    CHECK(f.out.at(0).packet.status == packet_status::not_run_overloaded);
+    f.p.on_close(flows[0]);
+    f.p.on_close(flows[0]);
+    CHECK(f.p.stats().flows == 399);
+}
+
+TEST_CASE("a new owner of an address starts cold, and draining upstreams get no new work")
+{
+    fixture f(1);
+    for (std::uint64_t id = 1; id <= 8; ++id)
+    {
+        f.request(id);
+        f.answer(f.attempts().at(0));
+    }
+    CHECK(f.p.stats().limit == 3);
+    f.p.update(make_table(1, 3, 2), f.now);
+    CHECK(f.p.stats().limit == 1);
+    f.p.update(make_table(0, 3, 3), f.now);
+    f.request(9);
+    CHECK(f.status(9) == packet_status::not_run_no_upstream);
+}
