--- a/coordination/coordination.hpp
+++ b/coordination/coordination.hpp
@@ -5,7 +5,11 @@
 // IWYU pragma: begin_exports
 #include "coordination/cluster_view.hpp"
 #include "coordination/concepts.hpp"
+#include "coordination/ledger.hpp"
+#include "coordination/pool.hpp"
+#include "coordination/retry_budget.hpp"
 #include "coordination/router.hpp"
+#include "coordination/upstream_limit.hpp"
 // IWYU pragma: end_exports
 
 #endif
--- a/coordination/none.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-// Placeholder so that the library links before its first decision is written.
