--- a/coordination/router.cpp
+++ b/coordination/router.cpp
@@ -223,9 +223,10 @@
     if (id.issuer == in.view.self())
         return local(verb, pool);
     // A live host whose incarnation differs in this view gets the packet all the same: the view may
-    // lag behind a restart, and the host itself knows.
-    endpoint const executor =
-        id.issuer.host == in.view.self().host ? endpoint{} : reach(in, id.issuer.host);
+    // lag behind a restart, and the host itself knows. A packet that was forwarded to another host
+    // than the executor's has been judged so already, and must not go back.
+    bool const judged = id.issuer.host == in.view.self().host || in.packet.hops > 0;
+    endpoint const executor = judged ? endpoint{} : reach(in, id.issuer.host);
     return executor.is_set() ? to_host(in, executor) : without_executor(in, pool, verb);
 }
 
