--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -1,6 +1,132 @@
-#include "state/state.hpp"
+// chiveleverd: the daemon of one entry host.
+#include "daemon/node.hpp"
 
-int main()
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <exception>
+#include <iostream>
+#include <optional>
+#include <string>
+
+namespace
+{
+
+namespace po = boost::program_options;
+using namespace chivelever;
+
+constexpr int exit_ok = 0;
+constexpr int exit_failed = 1;
+constexpr int exit_usage = 2;
+constexpr char const* version = "chiveleverd 0.1.0";
+
+po::options_description described()
+{
+    po::options_description d("Options");
+    d.add_options()("help", "show this text")("version", "show the version")(
+        "settings", po::value<std::string>()->value_name("FILE"), "settings of this host (INI)")(
+        "check-settings", po::value<std::string>()->value_name("FILE"),
+        "check a settings file, report all findings and exit")(
+        "print-settings", "print the settings in force and where each comes from, and exit");
+    return d;
+}
+
+// Reads the settings; prints every finding if there are any.
+std::optional<host_settings> read_settings(std::string const& file)
+{
+    findings problems;
+    auto settings = value_or_findings([&] { return load_settings(file); }, problems);
+    for (finding const& f : problems)
+        std::cerr << to_string(f) << "\n";
+    return settings;
+}
+
+// Signals are taken by sigwait in the main thread, so no other thread may receive them.
+sigset_t block_signals()
+{
+    sigset_t set;
+    sigemptyset(&set);
+    sigaddset(&set, SIGTERM);
+    sigaddset(&set, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &set, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return set;
+}
+
+// Incarnations are Unix seconds at start, so that a later run of a host is always the higher one.
+incarnation new_incarnation()
+{
+    return {static_cast<std::uint32_t>(unix_now_ms() / 1000)};
+}
+
+int run(host_settings settings)
+{
+    sigset_t const signals = block_signals();
+    log::severity lowest = log::severity::info;
+    log::parse_severity(settings.severity, lowest);
+    log::start(lowest, settings.name);
+    invariants::on_violation([](std::string_view rule, std::string_view detail)
+                             { log::error("invariant.violated", {{"rule", std::string(rule)},
+                                                                 {"detail", std::string(detail)}}); });
+    node n(std::move(settings), new_incarnation());
+    n.start();
+    int signal = 0;
+    sigwait(&signals, &signal);
+    n.drain();
+    return exit_ok;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
 {
-    return 0;
+    po::variables_map values;
+    try
+    {
+        po::store(po::parse_command_line(argc, argv, described()), values);
+        po::notify(values);
+    }
+    catch (po::error const& e)
+    {
+        std::cerr << "chiveleverd: " << e.what() << "\nTry chiveleverd --help.\n";
+        return exit_usage;
+    }
+    if (values.count("help") != 0)
+    {
+        std::cout << "Usage: chiveleverd --settings FILE\n" << described();
+        return exit_ok;
+    }
+    if (values.count("version") != 0)
+    {
+        std::cout << version << "\n";
+        return exit_ok;
+    }
+    bool const check = values.count("check-settings") != 0;
+    if (!check && values.count("settings") == 0)
+    {
+        std::cerr << "chiveleverd: --settings FILE is missing\nTry chiveleverd --help.\n";
+        return exit_usage;
+    }
+    auto const settings =
+        read_settings(values[check ? "check-settings" : "settings"].as<std::string>());
+    if (!settings)
+        return exit_usage;
+    if (check)
+    {
+        std::cout << "settings are in order\n";
+        return exit_ok;
+    }
+    if (values.count("print-settings") != 0)
+    {
+        std::cout << print_settings(*settings);
+        return exit_ok;
+    }
+    try
+    {
+        return run(*settings);
+    }
+    catch (std::exception const& e)
+    {
+        std::cerr << "chiveleverd: " << e.what() << "\n";
+        return exit_failed;
+    }
 }
--- a/state/published.hpp
+++ b/state/published.hpp
@@ -37,8 +37,9 @@
     {
     public:
         explicit reader(published const& source) : source_(&source) {}
-        T const& operator*() { return *fresh(); }
-        T const* operator->() { return fresh().get(); }
+        // The copy taken by the last fresh(): pointers into it stay valid until the next one.
+        T const& operator*() const { return *copy_; }
+        T const* operator->() const { return copy_.get(); }
         pointer const& fresh()
         {
             std::uint64_t const version = source_->version_.load(std::memory_order_acquire);
