Add rules, log and JSON of the fleet's configuration

Cause: every host must compute the same document from the same change, and operators need all findings of a refused change at once. Change: coordination/config_rules applies a change and validates the whole document; coordination/config_log keeps the document in force and the last 256 changes; protocol/config_json encodes and strictly decodes both.

--- a/coordination/coordination.hpp
+++ b/coordination/coordination.hpp
@@ -4,6 +4,8 @@
 
 // IWYU pragma: begin_exports
 #include "coordination/concepts.hpp"
+#include "coordination/config_log.hpp"
+#include "coordination/config_rules.hpp"
 // IWYU pragma: end_exports
 
 #endif
--- a/protocol/protocol.hpp
+++ b/protocol/protocol.hpp
@@ -4,6 +4,7 @@
 
 // IWYU pragma: begin_exports
 #include "protocol/codec.hpp"
+#include "protocol/config_json.hpp"
 #include "protocol/settings.hpp"
 // IWYU pragma: end_exports
 
--- a/protocol/settings.cpp
+++ b/protocol/settings.cpp
@@ -164,13 +164,14 @@
     // Reports sections and keys that the program does not have.
     void check_names()
     {
-        for (auto const& [section, line] : lines_.sections)
+        for (auto const& entry : lines_.sections)
             if (std::none_of(keys.begin(), keys.end(),
-                             [&](settings_key const& k) { return k.section == section; }))
-                problem(section, "", "unknown section");
-        for (auto const& [name, line] : lines_.keys)
+                             [&](settings_key const& k) { return k.section == entry.first; }))
+                problem(entry.first, "", "unknown section");
+        for (auto const& entry : lines_.keys)
         {
-            auto const& [section, key] = name;
+            std::string const& section = entry.first.first;
+            std::string const& key = entry.first.second;
             bool const known = section == "peers" ||
                                std::any_of(keys.begin(), keys.end(),
                                            [&](settings_key const& k)
--- /dev/null
+++ b/tests/config_test.cpp
@@ -0,0 +1,179 @@
+// Rules of the configuration, the log of changes and their JSON.
+#include "config_sample.hpp"
+#include "protocol/protocol.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace chivelever;
+using sample::change;
+using sample::upstream;
+
+namespace
+{
+
+fleet_config start()
+{
+    findings f;
+    auto c = value_or_findings([] { return apply(empty_config(), sample::first_change()); }, f);
+    REQUIRE(f.empty());
+    return *c;
+}
+
+// The document after the operations, or nothing if they are refused.
+std::optional<fleet_config> after(fleet_config const& c, std::vector<operation> ops,
+                                  revision in_force = all_in_force)
+{
+    findings f;
+    return value_or_findings(
+        [&] { return apply(c, change(c.rev.value + 1, 77, std::move(ops)), in_force); }, f);
+}
+
+} // namespace
+
+TEST_CASE("operations are refused when the document would break a rule")
+{
+    fleet_config const c = start();
+    CHECK(after(c, {set_default{"queue_limit", 10}}));
+    CHECK_FALSE(after(c, {set_default{"queue_limit", -1}}));
+    CHECK_FALSE(after(c, {set_default{"colour", 1}}));
+    CHECK_FALSE(after(c, {}));
+    CHECK_FALSE(after(c, {put_service{{{3}, "desk"}}}));
+    CHECK_FALSE(after(c, {put_upstream{upstream(3, 9, "127.0.1.3:9000")}}));
+    CHECK_FALSE(after(c, {put_upstream{upstream(3, 1, "127.0.1.2:9000")}}));
+    CHECK_FALSE(after(c, {put_upstream{upstream(1, 1, "127.0.1.3:9000")}}));
+    CHECK_FALSE(after(c, {set_upstream_state{"u9", upstream_state::draining}}));
+    CHECK_FALSE(after(c, {add_exception{"upstream/u1", "weight", 50, "short"}}));
+    CHECK_FALSE(after(c, {add_exception{"upstream/u1", "weight", 5000, "long enough"}}));
+    CHECK_FALSE(after(c, {add_exception{"upstream/u9", "weight", 50, "long enough"}}));
+    CHECK_FALSE(after(c, {remove_exception{"upstream/u1", "weight"}}));
+    auto const with = after(c, {add_exception{"upstream/u1", "weight", 50, "old disk in host"}});
+    REQUIRE(with);
+    CHECK(effective(*with, setting::weight, {1}, zone_id{1}, upstream_id{1}) == 50);
+    CHECK(with->exceptions[0].author == "ana");
+    CHECK(after(*with, {remove_exception{"upstream/u1", "weight"}}));
+}
+
+// Guards against operators who are sent from finding to finding.
+TEST_CASE("all findings of a change are reported together")
+{
+    findings f;
+    config_change c = change(9, 1, {set_default{"x", 1}, set_default{"weight", -1}});
+    c.author = " ";
+    value_or_findings([&] { return apply(start(), c); }, f);
+    CHECK(f.size() == 4);
+}
+
+// Guards against a change that leaves the fleet without any zone.
+TEST_CASE("the last zone that is in cannot be taken out, and zones return over the ramp")
+{
+    auto const out = after(start(), {set_zone_state{"akl", zone_state::out}});
+    REQUIRE(out);
+    CHECK(out->zones[0].changed_at == revision{2});
+    CHECK_FALSE(after(*out, {set_zone_state{"wlg", zone_state::out}}));
+    CHECK_FALSE(after(
+        start(), {set_zone_state{"akl", zone_state::out}, set_zone_state{"wlg", zone_state::out}}));
+    auto const back = after(*out, {set_zone_state{"akl", zone_state::in}});
+    REQUIRE(back);
+    CHECK(back->zones[0].state == zone_state::returning);
+    auto const again = after(*back, {set_zone_state{"akl", zone_state::in}});
+    CHECK(again->zones[0].changed_at == revision{3});
+}
+
+// Guards against packets of one service that reach another at a reused address.
+TEST_CASE("an address goes to another service only after the removal is in force everywhere")
+{
+    auto const retired = after(start(), {set_upstream_state{"u1", upstream_state::retired}});
+    REQUIRE(retired);
+    REQUIRE(retired->upstreams.size() == 2);
+    CHECK(retired->upstreams[0].retired_at == revision{2});
+    put_upstream const reuse{upstream(5, 2, "127.0.1.1:9000")};
+    CHECK_FALSE(after(*retired, {reuse}, revision{1}));
+    auto const reused = after(*retired, {reuse}, revision{2});
+    REQUIRE(reused);
+    REQUIRE(reused->upstreams.size() == 2);
+    CHECK(reused->upstreams[1].owner == incarnation{2});
+    // The same service may have the address at once, under a new incarnation.
+    auto const same = after(*retired, {put_upstream{upstream(5, 1, "127.0.1.1:9000")}}, {});
+    REQUIRE(same);
+    CHECK(same->upstreams.size() == 3);
+    CHECK(same->upstreams[2].owner == incarnation{2});
+    CHECK(after(*retired, {put_upstream{upstream(1, 1, "127.0.1.1:9000")}}, {}));
+}
+
+TEST_CASE("changes that touch different names are independent")
+{
+    auto const a = change(2, 1, {set_default{"weight", 1}});
+    CHECK(independent(a, change(2, 2, {set_upstream_state{"u1", upstream_state::draining}})));
+    CHECK_FALSE(independent(a, change(2, 2, {set_default{"weight", 2}})));
+    auto const out = change(2, 1, {set_zone_state{"akl", zone_state::out}});
+    CHECK_FALSE(independent(out, change(2, 2, {set_zone_state{"wlg", zone_state::out}})));
+}
+
+// Guards against revisions that fall or leave out a change.
+TEST_CASE("the log takes only the next change or a higher snapshot")
+{
+    config_log log;
+    CHECK(log.apply(sample::first_change()).step == log_step::applied);
+    CHECK(log.apply(sample::first_change()).step == log_step::known);
+    CHECK(log.apply(change(3, 3, {rotate_key{}})).step == log_step::gap);
+    CHECK(log.apply(change(2, 2, {set_default{"x", 1}})).step == log_step::refused);
+    for (std::uint64_t r = 2; r <= 300; ++r)
+        REQUIRE(log.apply(change(r, r, {rotate_key{}})).step == log_step::applied);
+    CHECK_FALSE(log.install(start()));
+    CHECK(log.rev() == revision{300});
+    CHECK(log.changes_since({300})->empty());
+    CHECK(log.changes_since({298})->front().rev == revision{299});
+    CHECK(log.changes_since({44})->size() == 256);
+    CHECK_FALSE(log.changes_since({43}));
+    CHECK(log.find_change(sample::change_id(290))->rev == revision{290});
+    CHECK_FALSE(log.find_change(sample::change_id(1)));
+    config_log other;
+    CHECK(other.install(*log.current()));
+    CHECK(other.history_start() == revision{300});
+    CHECK(invariants::violations() == 0);
+}
+
+TEST_CASE("configuration, changes, host list and events survive their JSON")
+{
+    findings f;
+    auto const c = after(start(), {set_zone_state{"akl", zone_state::out},
+                                   add_exception{"zone/wlg", "weight", 50, "reason é \"x\""},
+                                   set_upstream_state{"u1", upstream_state::retired}});
+    REQUIRE(c);
+    CHECK(value_or_findings([&] { return decode_config(encode(*c)); }, f) == c);
+    config_change all = sample::first_change();
+    for (operation const& op : std::vector<operation>{
+             set_default{"weight", -5}, set_upstream_state{"u1", upstream_state::draining},
+             set_zone_state{"akl", zone_state::returning}, add_exception{"a", "b", 3, "c"},
+             remove_exception{"a", "b"}, rotate_key{}})
+        all.operations.push_back(op);
+    CHECK(value_or_findings([&] { return decode_change(encode(all)); }, f) == all);
+    proposed_change const proposal{change(0, 5, {rotate_key{}}), revision{7}};
+    CHECK(value_or_findings([&] { return decode_proposal(encode(proposal)); }, f) == proposal);
+    host_list list{9,
+                   {{listed_kind::entry, 3, {1}, host_state::leaving, {1, 2}, {3, 4}, {5, 6}},
+                    {listed_kind::upstream, 70000, {2}, host_state::live, {}, {}, {}}}};
+    CHECK(value_or_findings([&] { return decode_host_list(encode(list)); }, f) == list);
+    event const e{~0ULL, {4}, "lease.granted", "pool/desk@akl", "x"};
+    CHECK(value_or_findings([&] { return decode_event(encode(e)); }, f) == e);
+    CHECK(f.empty());
+}
+
+// Guards against misspelt members that are silently ignored.
+TEST_CASE("JSON that is not exactly a change is refused with all findings")
+{
+    findings f;
+    value_or_findings(
+        []
+        {
+            return decode_change(R"({"revision":-1,"change_id":5,"author":"a","reason":"",
+                "time_ms":1,"extra":1,"operations":[{"op":"what"},{"op":"set_default","key":"x"}]})");
+        },
+        f);
+    CHECK(f.size() == 5);
+    for (char const* bad : {"", "[]", "{", "{\"a\":[[[[[[[[[[1]]]]]]]]]]}"})
+        CHECK_FALSE(value_or_findings([&] { return decode_change(bad); }, f));
+    CHECK_FALSE(value_or_findings(
+        [] { return decode_config(std::string(max_document_bytes + 1, ' ')); }, f));
+}
