--- a/coordination/coordination.hpp
+++ b/coordination/coordination.hpp
@@ -5,6 +5,8 @@
 // IWYU pragma: begin_exports
 #include "coordination/cluster_view.hpp"
 #include "coordination/concepts.hpp"
+#include "coordination/config_log.hpp"
+#include "coordination/config_rules.hpp"
 #include "coordination/ledger.hpp"
 #include "coordination/pool.hpp"
 #include "coordination/retry_budget.hpp"
