--- a/coordination/coordination.hpp
+++ b/coordination/coordination.hpp
@@ -4,6 +4,8 @@
 
 // IWYU pragma: begin_exports
 #include "coordination/concepts.hpp"
+#include "coordination/membership.hpp"
+#include "coordination/pool_lease.hpp"
 // IWYU pragma: end_exports
 
 #endif
--- /dev/null
+++ b/tests/membership_test.cpp
@@ -0,0 +1,169 @@
+// Membership: order of runs and counters, suspicion, watchers and peers to pull from.
+#include "coordination/coordination.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace chivelever;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr time_point origin{1h};
+
+host_list list_of(std::uint64_t version, std::size_t zones, std::size_t per_zone)
+{
+    host_list l{version, {}};
+    for (std::size_t i = 0; i < zones * per_zone; ++i)
+        l.hosts.push_back({listed_kind::entry, static_cast<std::uint32_t>(i + 1),
+                           zone_id{static_cast<std::uint8_t>(1 + i / per_zone)}, host_state::live});
+    return l;
+}
+
+heartbeat beat(int host, std::uint32_t run, std::uint32_t counter, int zone = 1,
+               host_state state = host_state::live)
+{
+    return {{{{static_cast<std::uint16_t>(host)}, {run}}, counter, state},
+            {static_cast<std::uint8_t>(zone)}};
+}
+
+membership make(host_list const& list)
+{
+    membership m({{1}, {100}}, {1}, 7);
+    m.update(list, origin);
+    return m;
+}
+
+} // namespace
+
+// Guards against a dead host that is taken for alive because its old datagrams are still under way.
+TEST_CASE("late heartbeats of an earlier run never revive a host")
+{
+    membership m = make(list_of(1, 1, 3));
+    outgoing_heartbeats out;
+    m.on_heartbeat(beat(2, 50, 900), origin);
+    m.on_heartbeat(beat(2, 60, 1), origin + 1s);
+    CHECK(m.find({2})->who.run == incarnation{60});
+    for (duration t = 1s; t < 4s; t += 500ms)
+    {
+        m.tick(origin + t, out);
+        m.on_heartbeat(beat(2, 50, 1000), origin + t);
+        m.on_heartbeat(beat(2, 60, 1), origin + t); // doubled
+    }
+    CHECK_FALSE(m.find({2})->alive);
+    m.on_heartbeat(beat(2, 60, 2), origin + 5s);
+    CHECK(m.find({2})->alive);
+
+    // The same after the host has left the list and come back.
+    host_list without = list_of(2, 1, 3);
+    std::erase_if(without.hosts, [](listed_host const& h) { return h.id == 2; });
+    m.update(without, origin + 6s);
+    CHECK(m.find({2}) == nullptr);
+    m.update(list_of(3, 1, 3), origin + 7s);
+    m.on_heartbeat(beat(2, 60, 99), origin + 8s);
+    CHECK_FALSE(m.find({2})->alive);
+    m.on_heartbeat(beat(2, 61, 1), origin + 8s);
+    CHECK(m.find({2})->alive);
+}
+
+// Guards against a leaving host that comes back to life through another host's older knowledge.
+TEST_CASE("leaving is final within a run and passes through a third host")
+{
+    membership m = make(list_of(1, 1, 4));
+    m.on_heartbeat(beat(2, 50, 5), origin);
+    heartbeat h = beat(3, 50, 1);
+    h.digest.push_back({{{2}, {50}}, 6, host_state::leaving});
+    m.on_heartbeat(h, origin);
+    CHECK(m.find({2})->state == host_state::leaving);
+    m.on_heartbeat(beat(2, 50, 7), origin);
+    CHECK(m.find({2})->state == host_state::leaving);
+    m.on_heartbeat(beat(2, 51, 1), origin);
+    CHECK(m.find({2})->state == host_state::live);
+}
+
+// Guards against a joining host that takes over everything, and against pools moved to a host that
+// is listed but has not started.
+TEST_CASE("only hosts of the first list count as alive before they are heard")
+{
+    membership m = make(list_of(1, 1, 3));
+    CHECK(m.settled_hosts({1}, origin) == std::vector<host_id>{{2}, {3}});
+    m.update(list_of(2, 1, 4), origin + 1s);
+    CHECK_FALSE(m.find({4})->alive);
+    m.on_heartbeat(beat(4, 50, 1), origin + 1s);
+    CHECK(m.find({4})->alive);
+    auto const settled = m.settled_hosts({1}, origin + 2s);
+    CHECK(std::find(settled.begin(), settled.end(), host_id{4}) == settled.end());
+    outgoing_heartbeats out;
+    m.tick(origin, out);
+    m.tick(origin + 900ms, out);
+    m.tick(origin + 1700ms, out);
+    m.tick(origin + 2500ms, out);
+    CHECK_FALSE(m.find({3})->alive); // the grace time is over
+}
+
+// Guards against a host that wakes from a freeze and declares everybody else dead.
+TEST_CASE("silence during a freeze of this host is not held against others")
+{
+    membership m = make(list_of(1, 1, 3));
+    outgoing_heartbeats out;
+    m.tick(origin, out);
+    m.on_heartbeat(beat(2, 50, 1), origin + 100ms);
+    m.tick(origin + 60s, out);
+    CHECK(m.find({2})->alive);
+    for (duration t = 60s; t < 63s; t += 500ms)
+        m.tick(origin + t, out);
+    CHECK_FALSE(m.find({2})->alive);
+}
+
+TEST_CASE("pulls go to a live peer ahead, of the own zone if possible, spread over several")
+{
+    membership m = make(list_of(1, 2, 4));
+    m.set_local({10}, 1, host_state::live);
+    CHECK_FALSE(m.best_config_peer());
+    auto ahead = [&](int host, int zone)
+    {
+        heartbeat h = beat(host, 50, 1, zone);
+        h.config = {11};
+        m.on_heartbeat(h, origin);
+    };
+    ahead(6, 2);
+    CHECK(m.best_config_peer() == host_id{6});
+    ahead(2, 1);
+    ahead(3, 1);
+    std::map<host_id, int> chosen;
+    for (int i = 0; i < 200; ++i)
+        ++chosen[*m.best_config_peer()];
+    CHECK(chosen.size() == 2);
+    CHECK(chosen[{2}] > 60);
+    CHECK(chosen[{3}] > 60);
+}
+
+// Guards against a host that is unaware of having been restarted after a clock step.
+TEST_CASE("a host learns of its earlier and of a higher run")
+{
+    membership m = make(list_of(1, 1, 3));
+    CHECK_FALSE(m.earlier_run());
+    heartbeat h = beat(2, 50, 1);
+    h.digest.push_back({{{1}, {90}}, 0, host_state::live});
+    m.on_heartbeat(h, origin);
+    CHECK(m.earlier_run() == incarnation{90});
+    CHECK_FALSE(m.newer_run());
+    m.on_heartbeat(beat(1, 200, 1), origin);
+    CHECK(m.newer_run() == incarnation{200});
+}
+
+TEST_CASE("two live hosts of a zone watch, and hosts agree on which")
+{
+    host_list const list = list_of(1, 1, 5);
+    membership a = make(list);
+    auto const first = a.watchers();
+    REQUIRE(first.size() == 2);
+    membership b({{2}, {100}}, {1}, 9);
+    b.update(list, origin);
+    b.on_heartbeat(beat(1, 100, 1), origin);
+    CHECK(b.watchers() == first);
+    int const gone = first[0].value == 1 ? first[1].value : first[0].value;
+    a.on_heartbeat(beat(gone, 50, 1, 1, host_state::leaving), origin);
+    CHECK(a.watchers() != first);
+    CHECK(a.watchers().size() == 2);
+}
