--- a/daemon/context.hpp
+++ b/daemon/context.hpp
@@ -3,6 +3,9 @@
 #ifndef CHIVELEVER_DAEMON_CONTEXT_HPP
 #define CHIVELEVER_DAEMON_CONTEXT_HPP
 
+#include "coordination/coordination.hpp"
+#include "protocol/protocol.hpp"
+#include "state/state.hpp"
 #include "transport/transport.hpp"
 
 #include <atomic>
