Index upstreams with an open-addressing map

Cause: decide_data took 100 ns more than the verification of its id; it looks up the upstream and the owner of its address. Change: boost::unordered_flat_map for these two indexes.

--- a/state/table.hpp
+++ b/state/table.hpp
@@ -8,6 +8,7 @@
 #include "state/ids.hpp"
 #include "state/messages.hpp"
 
+#include <boost/unordered/unordered_flat_map.hpp>
 #include <memory>
 #include <span>
 #include <string_view>
@@ -49,8 +50,10 @@
     fleet_config config_;
     host_list hosts_;
     flow_signer signer_;
-    std::unordered_map<upstream_id, upstream_config const*> upstreams_;
-    std::unordered_map<std::uint64_t, upstream_config const*> owners_;
+    // Open addressing: two look-ups for each packet of a stream.
+    boost::unordered_flat_map<upstream_id, upstream_config const*, std::hash<upstream_id>>
+        upstreams_;
+    boost::unordered_flat_map<std::uint64_t, upstream_config const*> owners_;
     std::unordered_map<service_id, service_config const*> services_;
     std::unordered_map<host_id, listed_host const*> entries_;
     std::unordered_map<upstream_id, host_state> listed_upstreams_;
