--- /dev/null
+++ b/bench/admission/policies.hpp
@@ -0,0 +1,323 @@
+// The ways of admission that are compared.
+#ifndef CHIVELEVER_BENCH_ADMISSION_POLICIES_HPP
+#define CHIVELEVER_BENCH_ADMISSION_POLICIES_HPP
+
+#include "model.hpp"
+
+#include <deque>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace chivelever::experiment
+{
+
+// What a policy gets to work with. finish tells the end of a request.
+struct world
+{
+    scenario const& s;
+    event_loop& loop;
+    random_engine& random;
+    std::vector<std::unique_ptr<upstream_model>>& upstreams;
+    std::function<void(std::uint64_t request, packet_status)> finish;
+
+    // Sends an attempt over the network; done is called when the answer is back.
+    void send(std::size_t upstream, std::uint64_t token, duration deadline,
+              std::function<void(packet_status)> done)
+    {
+        loop.after(s.one_way,
+                   [this, upstream, token, deadline, done = std::move(done)]() mutable
+                   {
+                       upstreams[upstream]->arrive(
+                           token, deadline,
+                           [this, done = std::move(done)](packet_status status)
+                           { loop.after(s.one_way, [done, status] { done(status); }); });
+                   });
+    }
+};
+
+// The product's pool: one holder for all balancers, or one pool of its own in each balancer.
+class pool_policy
+{
+public:
+    struct options
+    {
+        bool single_holder{true};
+        std::int64_t retry_percent{10};
+    };
+
+    pool_policy(world w, options o) : w_(std::move(w)), options_(o)
+    {
+        fleet_config c = empty_config();
+        c.rev = {1};
+        c.defaults[static_cast<std::size_t>(setting::request_flow_lifetime_s)] = 300;
+        c.defaults[static_cast<std::size_t>(setting::retry_budget_percent)] = o.retry_percent;
+        c.zones.push_back({{1}, "zone"});
+        c.services.push_back({{1}, "service"});
+        for (std::uint32_t i = 0; i < w_.s.upstreams; ++i)
+            c.upstreams.push_back(
+                {{i + 1}, std::to_string(i), {1}, {1}, address(i), {1}, w_.s.slots, 1000});
+        table_ = std::make_shared<routing_table const>(std::move(c), host_list{}, "experiment");
+        std::uint32_t const count = o.single_holder ? 1 : w_.s.balancers;
+        for (std::uint32_t i = 0; i < count; ++i)
+            add_holder(i);
+    }
+
+    void submit(std::uint32_t balancer, std::uint64_t request, duration deadline, bool idempotent)
+    {
+        std::size_t const h = options_.single_holder ? 0 : balancer;
+        // Eight balancers of nine have to hand the request to the holder.
+        duration const hop = options_.single_holder && balancer != 0 ? w_.s.one_way : duration{};
+        w_.loop.after(hop,
+                      [this, h, request, deadline, idempotent]
+                      {
+                          holder& holder = holders_[h];
+                          packet_view p;
+                          p.kind = packet_kind::request;
+                          p.flow = flow_kind::request;
+                          p.service = {1};
+                          p.request = {request};
+                          p.caller = caller;
+                          p.deadline_ms = static_cast<std::uint32_t>(deadline.count() / 1000);
+                          p.idempotent = idempotent;
+                          p.flow_id = holder.flow_bytes;
+                          holder.pool->on_request(p, holder.flow, w_.loop.now(), out_);
+                          deliver(h);
+                      });
+    }
+
+    // True if every upstream may be used to its full.
+    bool full_use() const
+    {
+        return holders_[0].pool->stats().limit == std::size_t{w_.s.upstreams} * w_.s.slots;
+    }
+
+private:
+    static constexpr endpoint caller{1, 1};
+    static endpoint address(std::uint32_t i) { return {0x7f000000 + i, 9000}; }
+
+    struct holder
+    {
+        std::unique_ptr<chivelever::pool> pool;
+        std::string flow_bytes;
+        flow_id flow;
+    };
+
+    void add_holder(std::uint32_t i)
+    {
+        holder h;
+        h.pool = std::make_unique<chivelever::pool>(
+            pool_id{{1}, {1}}, host_instance{{static_cast<std::uint16_t>(i)}, {1}}, 1, i + 1);
+        h.pool->update(table_, w_.loop.now());
+        h.pool->set_lease(w_.loop.now() + std::chrono::hours(1));
+        packet_view open;
+        open.kind = packet_kind::open;
+        open.flow = flow_kind::request;
+        open.service = {1};
+        open.caller = caller;
+        h.pool->on_open(open, w_.loop.now(), out_);
+        h.flow_bytes = std::string(out_.at(0).packet.flow_id);
+        h.flow = *table_->signer().open(h.flow_bytes);
+        out_.clear();
+        holders_.push_back(std::move(h));
+        tick(i);
+    }
+
+    void tick(std::size_t h)
+    {
+        w_.loop.after(std::chrono::milliseconds(10),
+                      [this, h]
+                      {
+                          holders_[h].pool->tick(w_.loop.now(), out_);
+                          deliver(h);
+                          tick(h);
+                      });
+    }
+
+    void deliver(std::size_t h)
+    {
+        for (send_packet const& s : out_)
+        {
+            std::uint64_t const id = s.packet.request.value;
+            if (s.to == caller)
+                w_.loop.after(w_.s.one_way,
+                              [this, id, status = s.packet.status] { w_.finish(id, status); });
+            else if (s.packet.kind == packet_kind::cancel)
+                cancel(h, s.to, id);
+            else
+                w_.send(s.to.address - address(0).address, id,
+                        std::chrono::milliseconds(s.packet.deadline_ms),
+                        [this, h, to = s.to, id](packet_status status)
+                        { answer(h, to, id, status); });
+        }
+        out_.clear();
+    }
+
+    void cancel(std::size_t h, endpoint to, std::uint64_t id)
+    {
+        w_.loop.after(w_.s.one_way,
+                      [this, h, to, id]
+                      {
+                          if (!w_.upstreams[to.address - address(0).address]->cancel(id))
+                              return;
+                          w_.loop.after(w_.s.one_way, [this, h, to, id]
+                                        { answer(h, to, id, packet_status::cancelled); });
+                      });
+    }
+
+    void answer(std::size_t h, endpoint from, std::uint64_t id, packet_status status)
+    {
+        packet_view a;
+        a.kind = packet_kind::answer;
+        a.flow = flow_kind::request;
+        a.status = status;
+        a.service = {1};
+        a.request = {id};
+        a.flow_id = holders_[h].flow_bytes;
+        holders_[h].pool->on_answer(a, from, w_.loop.now(), out_);
+        deliver(h);
+    }
+
+    world w_;
+    options options_;
+    table_ptr table_;
+    std::vector<holder> holders_;
+    std::vector<send_packet> out_;
+};
+
+// Each balancer sends at once to the less loaded of two random upstreams, by load figures that are
+// refreshed periodically. A shed or timed-out attempt is repeated, up to the number of tries.
+class two_choices_policy
+{
+public:
+    struct options
+    {
+        std::uint32_t tries{3};
+        duration refresh{std::chrono::milliseconds(100)};
+        duration time_out{std::chrono::milliseconds(100)};
+    };
+
+    two_choices_policy(world w, options o) : w_(std::move(w)), options_(o)
+    {
+        loads_.resize(w_.s.upstreams);
+        refresh();
+    }
+
+    void submit(std::uint32_t /*balancer*/, std::uint64_t request, duration deadline,
+                bool idempotent)
+    {
+        attempt(request, w_.loop.now() + deadline, idempotent, options_.tries);
+    }
+    bool full_use() const { return true; }
+
+private:
+    void refresh()
+    {
+        for (std::size_t i = 0; i < loads_.size(); ++i)
+            loads_[i] = w_.upstreams[i]->occupied();
+        w_.loop.after(options_.refresh, [this] { refresh(); });
+    }
+
+    void attempt(std::uint64_t request, time_point deadline, bool idempotent, std::uint32_t tries)
+    {
+        duration const left = deadline - w_.loop.now();
+        if (tries == 0 || left <= duration{})
+            return w_.finish(request, packet_status::not_run_overloaded);
+        boost::random::uniform_int_distribution<std::size_t> any(0, loads_.size() - 1);
+        std::size_t const a = any(w_.random);
+        std::size_t const b = any(w_.random);
+        std::size_t const chosen = loads_[b] < loads_[a] ? b : a;
+        std::uint64_t const token = ++tokens_;
+        auto const open = std::make_shared<bool>(true);
+        w_.send(chosen, token, left,
+                [this, open, request, deadline, idempotent, tries](packet_status status)
+                {
+                    if (!*open)
+                        return;
+                    *open = false;
+                    if (status == packet_status::ok)
+                        w_.finish(request, status);
+                    else
+                        attempt(request, deadline, idempotent, tries - 1);
+                });
+        bool const repeat = idempotent && tries > 1;
+        w_.loop.after(repeat ? std::min(left, options_.time_out) : left,
+                      [this, open, request, deadline, idempotent, tries, repeat]
+                      {
+                          if (!*open)
+                              return;
+                          *open = false;
+                          if (repeat)
+                              attempt(request, deadline, idempotent, tries - 1);
+                          else
+                              w_.finish(request, packet_status::outcome_unknown);
+                      });
+    }
+
+    world w_;
+    options options_;
+    std::vector<std::size_t> loads_;
+    std::uint64_t tokens_{};
+};
+
+// The yardstick: one queue that sees each upstream without delay.
+class ideal_policy
+{
+public:
+    struct options
+    {
+    };
+    ideal_policy(world w, options) : w_(std::move(w)) { poll(); }
+
+    void submit(std::uint32_t /*balancer*/, std::uint64_t request, duration deadline,
+                bool /*idempotent*/)
+    {
+        queue_.push_back({request, w_.loop.now() + deadline});
+        dispatch();
+    }
+    bool full_use() const { return true; }
+
+private:
+    struct waiting
+    {
+        std::uint64_t request;
+        time_point deadline;
+    };
+    // Upstreams that became warm, or lost their work, have to be noticed.
+    void poll()
+    {
+        w_.loop.after(std::chrono::milliseconds(1),
+                      [this]
+                      {
+                          dispatch();
+                          poll();
+                      });
+    }
+    void dispatch()
+    {
+        for (auto const& u : w_.upstreams)
+            while (u->occupied() < u->bears() && !queue_.empty())
+            {
+                waiting const next = queue_.front();
+                queue_.pop_front();
+                if (next.deadline <= w_.loop.now())
+                {
+                    w_.finish(next.request, packet_status::not_run_overloaded);
+                    continue;
+                }
+                u->arrive(next.request, next.deadline - w_.loop.now(),
+                          [this, request = next.request](packet_status status)
+                          {
+                              w_.finish(request, status);
+                              dispatch();
+                          });
+            }
+    }
+
+    world w_;
+    std::deque<waiting> queue_;
+};
+
+} // namespace chivelever::experiment
+
+#endif
