Judge late attempts by the upstream's other answers; climb with caution

Change: an attempt past its patience counts as a failure only if the upstream has answered none sent later; one upstream at a time tries higher limits until one has worked in full; probes are spread, and one success hastens the others.

--- a/coordination/pool.cpp
+++ b/coordination/pool.cpp
@@ -91,7 +91,8 @@
             std::clamp<std::int64_t>(effective(table_->config(), key, id_.service, id_.zone, u.id),
                                      1, std::numeric_limits<std::uint16_t>::max()));
     };
-    known.limit.configure({u.slots, number(setting::cold_limit), number(setting::warm_up_answers)});
+    known.limit.configure(
+        {u.slots, number(setting::cold_limit), number(setting::warm_up_answers), u.id.value});
 }
 
 void pool::set_lease(std::optional<time_point> valid_until)
--- a/coordination/pool.hpp
+++ b/coordination/pool.hpp
@@ -107,6 +107,7 @@
         std::uint32_t flows{};
         std::uint32_t adopted_flows{}; // opened by the previous holder
         time_point last_sent{time_point::min()};
+        time_point answered_sent{time_point::min()}; // when the latest answered attempt was sent
         time_point joined;
         std::uint32_t opens_since_pick{}; // opens in the pool since the last one here
         std::uint32_t occupied() const { return outstanding + adopted; }
@@ -194,6 +195,7 @@
     void check_attempts(time_point now, std::vector<send_packet>& out);
     void check_attempt(std::uint64_t id, attempt& a, time_point now, std::vector<send_packet>& out);
     void judge_time_out(attempt& a, time_point now);
+    void take_answer(upstream& u, time_point sent, time_point now);
     void clean_queue(time_point now, std::vector<send_packet>& out);
     std::optional<duration> median_of(upstream const& u) const;
 
@@ -214,6 +216,7 @@
     std::vector<upstream> upstreams_; // an index stays in use while attempts or flows name it
     std::unordered_map<std::uint32_t, counted_flow> flows_; // by serial number
     std::unordered_map<std::uint64_t, recent_open> recent_opens_;
+    climb_guard climb_;
     ledger ledger_;
     retry_budget budget_;
     std::deque<request> requests_; // stable addresses; slots are reused
--- a/coordination/pool_dispatch.cpp
+++ b/coordination/pool_dispatch.cpp
@@ -201,13 +201,11 @@
     if (p.status == packet_status::shed)
     {
         ++stats_.sheds;
-        u.limit.on_failure(a.sent, now);
+        u.limit.on_failure(a.sent, now, climb_);
     }
     else if (p.status == packet_status::ok && !a.judged)
     {
-        u.limit.on_answer(a.sent, now);
-        if (auto const median = u.limit.warm_median())
-            recent_median_ = *median;
+        take_answer(u, a.sent, now);
     }
     else if (p.status == packet_status::deadline_exceeded)
     {
@@ -320,16 +318,36 @@
     finish_unanswered(slot, packet_status::not_run_overloaded, out);
 }
 
+// Learns from an answer. The end of one upstream's failure may be that of an outage of all.
+void pool::take_answer(upstream& u, time_point sent, time_point now)
+{
+    bool const was_probing = u.limit.probing();
+    u.answered_sent = std::max(u.answered_sent, sent);
+    u.limit.on_answer(sent, now, climb_);
+    if (auto const median = u.limit.warm_median())
+        recent_median_ = *median;
+    if (was_probing && !u.limit.probing())
+        for (upstream& other : upstreams_)
+            other.limit.hasten_probe(now);
+}
+
+// An upstream that has answered a later attempt is alive, and the late one is merely slow. With
+// exponential service times 0.4% of the answers exceed the patience.
 void pool::judge_time_out(attempt& a, time_point now)
 {
-    if (a.judged)
+    upstream& u = upstreams_[a.upstream];
+    bool const alive = u.answered_sent >= a.sent;
+    if (a.judged || (alive && now < a.deadline))
         return;
     a.judged = true;
     ++stats_.time_outs;
-    upstream& u = upstreams_[a.upstream];
     auto const median = median_of(u);
-    if (!median || a.deadline - a.sent >= *median * judged_medians)
-        u.limit.on_failure(a.sent, now);
+    if (median && a.deadline - a.sent < *median * judged_medians)
+        return;
+    if (alive)
+        u.limit.on_answer(a.sent, now, climb_);
+    else
+        u.limit.on_failure(a.sent, now, climb_);
 }
 
 // Ends queued requests that can no longer run in time or here.
--- a/coordination/upstream_limit.cpp
+++ b/coordination/upstream_limit.cpp
@@ -1,6 +1,7 @@
 #include "coordination/upstream_limit.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace chivelever
 {
@@ -14,8 +15,56 @@
 // the answers), so that a single slow answer is no evidence of an overloaded upstream.
 constexpr std::uint16_t slow_answers_to_fall = 4;
 constexpr std::size_t answers_per_median = 8;
+constexpr std::uint32_t max_caution = 64;
+// A climber without a result, for lack of requests, gives way to another after this time.
+constexpr duration climb_time = std::chrono::seconds(5);
+// What one upstream has shown is good for the others for this time.
+constexpr duration proven_time = std::chrono::seconds(30);
+// Caution halves when a climb succeeds this long after the last failed one.
+constexpr duration caution_time = std::chrono::seconds(30);
+// Spreads the probes of upstreams that failed together over the back-off, so that one of them soon
+// sees the end of an outage: a factor between 1/2 and 1 by the golden ratio of the number.
+double spread(std::uint32_t who)
+{
+    double const turns = who * 0.6180339887498949;
+    return 1 - (turns - std::floor(turns)) / 2;
+}
 } // namespace
 
+bool climb_guard::may_rise(std::uint32_t who, time_point now) const
+{
+    return now < proven_until_ || now >= climbing_until_ || who == climber_;
+}
+
+void climb_guard::rose(std::uint32_t who, time_point now)
+{
+    if (now < proven_until_)
+        return;
+    climber_ = who;
+    climbing_until_ = now + climb_time;
+}
+
+void climb_guard::reached_full(std::uint32_t who, time_point now)
+{
+    proven_until_ = now + proven_time;
+    if (who == climber_)
+        climbing_until_ = time_point::min();
+    if (caution_ > 1 && now - last_failure_ >= caution_time)
+    {
+        caution_ /= 2;
+        last_failure_ = now;
+    }
+}
+
+void climb_guard::failed(std::uint32_t who, time_point now)
+{
+    proven_until_ = time_point::min();
+    if (who == climber_)
+        climbing_until_ = time_point::min();
+    caution_ = std::min(caution_ * 2, max_caution);
+    last_failure_ = now;
+}
+
 void upstream_limit::configure(upstream_limit_settings const& s)
 {
     settings_ = s;
@@ -35,8 +84,10 @@
 
 void upstream_limit::adopt(std::uint16_t limit)
 {
-    if (!probing_)
-        limit_ = std::clamp(limit, settings_.cold_limit, settings_.slots);
+    if (probing_)
+        return;
+    limit_ = std::clamp(limit, settings_.cold_limit, settings_.slots);
+    settled_ = limit_ == settings_.slots;
 }
 
 bool upstream_limit::may_send(std::uint32_t outstanding, time_point now) const
@@ -53,7 +104,7 @@
     return median_;
 }
 
-void upstream_limit::on_answer(time_point sent, time_point now)
+void upstream_limit::on_answer(time_point sent, time_point now, climb_guard& guard)
 {
     if (sent < fell_at_)
         return;
@@ -64,27 +115,58 @@
         record(latency);
     if (slow_ >= slow_answers_to_fall)
     {
+        fail_climb(now, guard);
         fall(now);
         return;
     }
     probing_ = false;
     back_off_ = {};
-    on_time_ = slow ? std::uint16_t{0} : static_cast<std::uint16_t>(on_time_ + 1);
-    if (on_time_ >= settings_.warm_up_answers && limit_ < settings_.slots)
+    on_time_ = slow ? 0 : on_time_ + 1;
+    rise(now, guard);
+}
+
+// Raises the limit after enough answers, or notes that the full limit has proved right.
+void upstream_limit::rise(time_point now, climb_guard& guard)
+{
+    if (settled_)
+        return;
+    if (limit_ == settings_.slots)
+    {
+        settled_ = on_time_ >= settings_.warm_up_answers;
+        if (settled_ && settings_.slots > settings_.cold_limit)
+            guard.reached_full(settings_.who, now);
+    }
+    else if (on_time_ >= settings_.warm_up_answers * guard.caution() &&
+             guard.may_rise(settings_.who, now))
     {
         ++limit_;
         on_time_ = 0;
+        guard.rose(settings_.who, now);
     }
 }
 
-void upstream_limit::on_failure(time_point sent, time_point now)
+// Tells the other upstreams that the limit was raised too early.
+void upstream_limit::fail_climb(time_point now, climb_guard& guard) const
+{
+    if (!settled_ && limit_ > settings_.cold_limit)
+        guard.failed(settings_.who, now);
+}
+
+void upstream_limit::on_failure(time_point sent, time_point now, climb_guard& guard)
 {
     if (sent < fell_at_)
         return; // belongs to the failure that is already counted
+    fail_climb(now, guard);
     fall(now);
     probing_ = true;
     back_off_ = back_off_ == duration{} ? first_back_off : std::min(back_off_ * 2, max_back_off);
-    next_probe_ = now + back_off_;
+    next_probe_ = now + std::chrono::duration_cast<duration>(back_off_ * spread(settings_.who));
+}
+
+void upstream_limit::hasten_probe(time_point now)
+{
+    if (probing_)
+        next_probe_ = std::min(next_probe_, now + first_back_off / 2);
 }
 
 void upstream_limit::fall(time_point now)
@@ -92,6 +174,7 @@
     limit_ = settings_.cold_limit;
     on_time_ = 0;
     slow_ = 0;
+    settled_ = false;
     fell_at_ = now;
 }
 
--- a/coordination/upstream_limit.hpp
+++ b/coordination/upstream_limit.hpp
@@ -16,9 +16,31 @@
     std::uint16_t slots{1};
     std::uint16_t cold_limit{1};
     std::uint16_t warm_up_answers{4};
+    std::uint32_t who{}; // tells the upstreams of a pool apart
     bool operator==(upstream_limit_settings const&) const = default;
 };
 
+// Shared by the upstreams of a pool. Answers at the cold limit don't show whether an upstream bears
+// more: one that warms up by time answers well there and falls over above. So one upstream at a
+// time tries higher limits until one has worked at its full limit, after which the others follow.
+// Each failed climb doubles the number of answers needed.
+class climb_guard
+{
+public:
+    std::uint32_t caution() const { return caution_; }
+    bool may_rise(std::uint32_t who, time_point now) const;
+    void rose(std::uint32_t who, time_point now);
+    void reached_full(std::uint32_t who, time_point now);
+    void failed(std::uint32_t who, time_point now);
+
+private:
+    std::uint32_t caution_{1};
+    std::uint32_t climber_{};
+    time_point climbing_until_{time_point::min()};
+    time_point proven_until_{time_point::min()};
+    time_point last_failure_{time_point::min()};
+};
+
 // The upstream's own answers are the only evidence used, because its health and load endpoints lag
 // or mislead. Answers to requests sent before the last fall say nothing about the state after it
 // and are ignored.
@@ -41,18 +63,23 @@
     // Median latency while at the full limit, if known.
     std::optional<duration> warm_median() const;
 
-    void on_answer(time_point sent, time_point now);
+    void on_answer(time_point sent, time_point now, climb_guard& guard);
     // A shed answer, or a time-out that had enough time to be answered.
-    void on_failure(time_point sent, time_point now);
+    void on_failure(time_point sent, time_point now, climb_guard& guard);
+    // Another upstream of the pool has recovered: the next probe is due soon.
+    void hasten_probe(time_point now);
 
 private:
     static constexpr std::size_t latency_window = 32;
     void fall(time_point now);
+    void fail_climb(time_point now, climb_guard& guard) const;
+    void rise(time_point now, climb_guard& guard);
     void record(duration latency);
 
     upstream_limit_settings settings_;
     std::uint16_t limit_{1};
-    std::uint16_t on_time_{}; // consecutive on-time answers since the last rise
+    std::uint32_t on_time_{}; // consecutive on-time answers since the last rise
+    bool settled_{};          // has worked at the full limit
     std::uint16_t slow_{};    // consecutive slow answers
     bool probing_{};
     duration back_off_{};
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -120,13 +120,14 @@
 TEST_CASE("an upstream's limit rises with answers on time and falls on evidence of trouble")
 {
     upstream_limit l;
+    climb_guard guard;
     l.configure({3, 1, 4});
     time_point now = start;
     l.start_cold(now);
     auto const answers = [&](int n, duration latency)
     {
         for (int i = 0; i < n; ++i, now += latency)
-            l.on_answer(now, now + latency);
+            l.on_answer(now, now + latency, guard);
     };
     answers(3, milliseconds(10));
     CHECK(l.limit() == 1);
@@ -138,15 +139,15 @@
     {
         time_point const sent = now;
         now += milliseconds(5);
-        l.on_failure(sent, now);
-        l.on_failure(sent, now + milliseconds(1)); // same failure, no second back-off
+        l.on_failure(sent, now, guard);
+        l.on_failure(sent, now + milliseconds(1), guard); // same failure, no second back-off
         CHECK_FALSE(l.may_send(0, now + milliseconds(99)));
         CHECK(l.may_send(0, now + milliseconds(100)));
         CHECK_FALSE(l.may_send(1, now + milliseconds(100)));
         for (int i = 0; i < 10; ++i)
         {
             now = l.next_probe();
-            l.on_failure(now, now);
+            l.on_failure(now, now, guard);
         }
         CHECK(l.next_probe() - now == seconds(2));
         answers(1, milliseconds(10));
@@ -164,8 +165,8 @@
     SECTION("answers to requests sent before the fall are no evidence")
     {
         time_point const old = now;
-        l.on_failure(old, now + milliseconds(1));
-        l.on_answer(old, now + milliseconds(2));
+        l.on_failure(old, now + milliseconds(1), guard);
+        l.on_answer(old, now + milliseconds(2), guard);
         CHECK(l.probing());
     }
 }
