Add the store and fabric stand-ins

The daemons need a platform to run against. The store serves the Consul KV subset with faults on command; the fabric sprays packets over the balancers that report ready. Boost.Beast serves the store, because an outage closes or holds connections and a waiting watch must hold no thread.

--- /dev/null
+++ b/standins/common.hpp
@@ -0,0 +1,101 @@
+// Shared parts of the stand-ins: time, alarms, UDP sockets with large buffers, and program start
+// and stop. Stand-ins are test programs and run one event loop on one thread.
+#ifndef CHIVELEVER_STANDINS_COMMON_HPP
+#define CHIVELEVER_STANDINS_COMMON_HPP
+
+#include "state/state.hpp"
+
+#include <boost/asio.hpp>
+#include <boost/json.hpp>
+#include <boost/program_options.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chivelever::standins
+{
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+namespace options = boost::program_options;
+using steady = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+// Many short timers on one Asio timer. A timer object for each request would cost more than the
+// request itself.
+class alarms
+{
+public:
+    using handle = std::pair<steady::time_point, std::uint64_t>;
+
+    explicit alarms(asio::io_context& io) : timer_(io) {}
+    handle at(steady::time_point when, std::function<void()> action);
+    handle after(steady::duration delay, std::function<void()> action)
+    {
+        return at(steady::now() + delay, std::move(action));
+    }
+    void cancel(handle const& h) { pending_.erase(h); }
+
+private:
+    void arm();
+    void run_due();
+
+    asio::steady_timer timer_;
+    steady::time_point armed_{steady::time_point::max()};
+    std::map<handle, std::function<void()>> pending_;
+    std::uint64_t next_{};
+};
+
+// A non-blocking UDP socket that is drained in batches. Counts what the kernel dropped because the
+// receive buffer was full, so that a run can tell its own losses from the product's.
+class udp_socket
+{
+public:
+    using handler = std::function<void(endpoint from, std::string_view bytes)>;
+
+    udp_socket(asio::io_context& io, endpoint listen, handler on_packet);
+    ~udp_socket() { *alive_ = false; }
+    udp_socket(udp_socket const&) = delete;
+    udp_socket& operator=(udp_socket const&) = delete;
+
+    void send(endpoint to, std::string_view bytes);
+    endpoint local() const { return local_; }
+    std::uint64_t dropped() const { return dropped_; }
+    std::uint64_t send_failures() const { return send_failures_; }
+
+private:
+    void wait();
+    void drain();
+
+    asio::ip::udp::socket socket_;
+    handler on_packet_;
+    endpoint local_;
+    std::uint64_t dropped_{};
+    std::uint64_t send_failures_{};
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true); // handlers may outlive the socket
+};
+
+// Adds --help and --max-seconds, parses, and reports errors. False if the program should end.
+bool parse_options(int argc, char** argv, options::options_description& described,
+                   options::variables_map& values);
+
+// Runs the loop until SIGTERM, SIGINT, --max-seconds or io.stop().
+void run_until_stopped(asio::io_context& io, options::variables_map const& values);
+
+// Splits at a separator; empty parts are kept.
+std::vector<std::string> split(std::string_view text, char separator);
+
+// Parses "ip:port" or ends the program with a message that names the option.
+endpoint require_endpoint(std::string const& text, std::string_view option);
+
+// Whole number at the start of text, or nothing.
+std::optional<std::uint64_t> parse_number(std::string_view text);
+
+} // namespace chivelever::standins
+
+#endif
--- /dev/null
+++ b/standins/fabric.cpp
@@ -0,0 +1,215 @@
+// The network fabric: sets the caller's address in each packet and sprays packets at random over
+// the balancers that report ready. Answers do not pass here.
+#include "protocol/protocol.hpp"
+#include "standins/common_http.hpp"
+
+#include <atomic>
+#include <deque>
+#include <iostream>
+#include <memory>
+#include <random>
+#include <thread>
+
+namespace
+{
+
+using namespace chivelever;
+using namespace chivelever::standins;
+
+constexpr auto poll_interval = milliseconds(200);
+constexpr auto poll_limit = milliseconds(300); // a frozen balancer is dropped after this
+constexpr auto reorder_delay = milliseconds(5);
+
+struct balancer
+{
+    endpoint packet;
+    endpoint admin;
+    std::atomic<bool> live{false};
+    std::uint64_t sent{};
+};
+
+// Polls /readyz of each balancer on a thread of its own, so that polling never delays packets.
+class readiness
+{
+public:
+    explicit readiness(std::deque<balancer>& all) : all_(all) {}
+    ~readiness()
+    {
+        io_.stop();
+        if (thread_.joinable())
+            thread_.join();
+    }
+    void start()
+    {
+        for (balancer& b : all_)
+            if (b.admin.is_set())
+                poll(b);
+        thread_ = std::thread([this] { io_.run(); });
+    }
+
+private:
+    void poll(balancer& b)
+    {
+        fetch_http(io_, b.admin, "/readyz", poll_limit,
+                   [this, &b](unsigned status, std::string const&)
+                   {
+                       b.live.store(status == 200, std::memory_order_relaxed);
+                       alarms_.after(poll_interval, [this, &b] { poll(b); });
+                   });
+    }
+
+    std::deque<balancer>& all_;
+    asio::io_context io_{1};
+    alarms alarms_{io_};
+    std::thread thread_;
+};
+
+struct faults
+{
+    double loss{};
+    double doubled{};
+    double reorder{};
+};
+
+class fabric
+{
+public:
+    fabric(asio::io_context& io, std::deque<balancer>& all, faults f, std::uint64_t seed)
+        : alarms_(io), all_(all), faults_(f), random_(seed)
+    {
+    }
+
+    void listen(asio::io_context& io, endpoint address)
+    {
+        socket_ = std::make_unique<udp_socket>(
+            io, address, [this](endpoint from, std::string_view bytes) { handle(from, bytes); });
+    }
+
+    json::object report() const
+    {
+        json::object spread;
+        for (balancer const& b : all_)
+            spread[to_string(b.packet)] = json::object{{"live", b.live.load()}, {"sent", b.sent}};
+        return {{"received", received_},
+                {"undecodable", undecodable_},
+                {"no_balancer", no_balancer_},
+                {"lost", lost_},
+                {"doubled", doubled_},
+                {"reordered", reordered_},
+                {"buffer_drops", socket_->dropped()},
+                {"send_failures", socket_->send_failures()},
+                {"balancers", spread}};
+    }
+
+private:
+    bool chance(double p) { return p > 0 && std::bernoulli_distribution(p)(random_); }
+
+    void handle(endpoint from, std::string_view bytes)
+    {
+        ++received_;
+        auto packet = codec_.decode(bytes);
+        if (!packet)
+        {
+            ++undecodable_;
+            return;
+        }
+        packet->caller = from;
+        packet->hops = 0; // a caller must not pretend to be a host
+        std::string_view const encoded = codec_.encode(*packet);
+        if (chance(faults_.loss))
+        {
+            ++lost_;
+            return;
+        }
+        if (chance(faults_.doubled))
+        {
+            ++doubled_;
+            spray(encoded);
+        }
+        if (chance(faults_.reorder))
+        {
+            ++reordered_;
+            alarms_.after(reorder_delay, [this, copy = std::string(encoded)] { spray(copy); });
+            return;
+        }
+        spray(encoded);
+    }
+
+    void spray(std::string_view bytes)
+    {
+        live_.clear();
+        for (balancer& b : all_)
+            if (b.live.load(std::memory_order_relaxed))
+                live_.push_back(&b);
+        if (live_.empty())
+        {
+            ++no_balancer_;
+            return;
+        }
+        balancer& chosen =
+            *live_[std::uniform_int_distribution<std::size_t>(0, live_.size() - 1)(random_)];
+        ++chosen.sent;
+        socket_->send(chosen.packet, bytes);
+    }
+
+    alarms alarms_;
+    std::deque<balancer>& all_;
+    faults faults_;
+    std::mt19937_64 random_;
+    packet_codec codec_;
+    std::unique_ptr<udp_socket> socket_;
+    std::vector<balancer*> live_;
+    std::uint64_t received_{};
+    std::uint64_t undecodable_{};
+    std::uint64_t no_balancer_{};
+    std::uint64_t lost_{};
+    std::uint64_t doubled_{};
+    std::uint64_t reordered_{};
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    options::options_description described("Network fabric stand-in");
+    auto const share = [] { return options::value<double>()->default_value(0); };
+    described.add_options()("listen", options::value<std::string>()->required(), "ip:port (UDP)")(
+        "control", options::value<std::string>(), "ip:port (HTTP): GET /report")(
+        "balancer", options::value<std::vector<std::string>>()->required(),
+        "PACKET_IP:PORT,ADMIN_IP:PORT; repeatable. Without an admin address it is always live")(
+        "loss", share(), "share of packets lost")("double", share(), "share of packets doubled")(
+        "reorder", share(), "share of packets delayed by 5 ms")(
+        "seed", options::value<std::uint64_t>()->default_value(1), "seed of all random choices");
+    options::variables_map values;
+    if (!parse_options(argc, argv, described, values))
+        return 0;
+
+    std::deque<balancer> all; // a deque, because atomics cannot move
+    for (std::string const& item : values["balancer"].as<std::vector<std::string>>())
+    {
+        auto const parts = split(item, ',');
+        balancer& b = all.emplace_back();
+        b.packet = require_endpoint(parts.front(), "--balancer");
+        if (parts.size() > 1)
+            b.admin = require_endpoint(parts.back(), "--balancer");
+        else
+            b.live = true;
+    }
+    asio::io_context io(1);
+    fabric net(io, all,
+               {values["loss"].as<double>(), values["double"].as<double>(),
+                values["reorder"].as<double>()},
+               values["seed"].as<std::uint64_t>());
+    net.listen(io, require_endpoint(values["listen"].as<std::string>(), "--listen"));
+    if (values.count("control") != 0)
+        serve_http(io, require_endpoint(values["control"].as<std::string>(), "--control"),
+                   [&net](http_call const&, http_responder const& respond) {
+                       respond({200, json::serialize(net.report())});
+                   });
+    readiness ready(all);
+    ready.start();
+    std::cout << "fabric ready" << std::endl;
+    run_until_stopped(io, values);
+    std::cout << json::serialize(net.report()) << std::endl;
+    return 0;
+}
--- /dev/null
+++ b/standins/store.cpp
@@ -0,0 +1,367 @@
+// The platform's key-value service: the subset of the published Consul KV HTTP API that the daemons
+// use, with faults on command. Built on Boost.Beast because outages are played at the connection
+// (closed, or never answered) and a waiting watch must not hold a thread.
+#include "standins/common_http.hpp"
+
+#include <openssl/evp.h>
+
+#include <iostream>
+#include <list>
+
+namespace
+{
+
+using namespace chivelever;
+using namespace chivelever::standins;
+
+constexpr std::size_t max_value_bytes = 1'000'000;
+constexpr auto default_wait = std::chrono::seconds(5);
+constexpr auto max_wait = std::chrono::seconds(60);
+constexpr std::string_view key_path = "/v1/kv/";
+
+std::string to_base64(std::string const& bytes)
+{
+    std::string out(4 * ((bytes.size() + 2) / 3) + 1, '\0');
+    int const size = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(out.data()),
+                                     reinterpret_cast<unsigned char const*>(bytes.data()),
+                                     static_cast<int>(bytes.size()));
+    out.resize(static_cast<std::size_t>(size));
+    return out;
+}
+
+// "5s", "200ms" or "1m", as in the published API.
+steady::duration parse_wait(std::string const& text)
+{
+    auto const n = parse_number(text);
+    if (!n)
+        return default_wait;
+    steady::duration wait = std::chrono::seconds(*n);
+    if (text.ends_with("ms"))
+        wait = milliseconds(*n);
+    else if (text.ends_with("m"))
+        wait = std::chrono::minutes(*n);
+    return std::min<steady::duration>(wait, max_wait);
+}
+
+// Allows a number of calls in each second; 0 is no limit.
+class rate_limit
+{
+public:
+    void set(std::uint64_t calls) { limit_ = calls; }
+    bool allow()
+    {
+        auto const now = steady::now();
+        if (now - since_ >= std::chrono::seconds(1))
+        {
+            since_ = now;
+            used_ = 0;
+        }
+        return limit_ == 0 || used_++ < limit_;
+    }
+
+private:
+    std::uint64_t limit_{};
+    std::uint64_t used_{};
+    steady::time_point since_{};
+};
+
+struct entry
+{
+    std::string value;
+    std::uint64_t index{};
+};
+
+class key_value_store
+{
+public:
+    explicit key_value_store(asio::io_context& io) : alarms_(io) {}
+
+    // View is the zone through whose port the call came. A key "hosts@ZONE" replaces "hosts" there,
+    // because hosts of a zone reach other zones through relays with addresses of their own.
+    void handle(std::string const& view, http_call const& call, http_responder respond)
+    {
+        if (call.path == "/control" && call.method == "POST")
+            return respond(control(parse_object(call.body)));
+        if (call.path == "/control/stats")
+            return respond({200, json::serialize(stats())});
+        ++calls_["total"];
+        if (outage_ != "off")
+            return refuse(std::move(respond));
+        if (slow_ == milliseconds(0))
+            return serve(view, call, std::move(respond));
+        alarms_.after(slow_, [this, view, call, respond = std::move(respond)]() mutable
+                      { serve(view, call, std::move(respond)); });
+    }
+
+private:
+    struct waiter
+    {
+        std::string key;
+        std::uint64_t index{};
+        http_responder respond;
+        alarms::handle deadline;
+    };
+
+    void refuse(http_responder respond)
+    {
+        ++calls_["during_outage"];
+        if (outage_ == "hang")
+            hung_.push_back(std::move(respond)); // closed when the outage ends
+        else
+            respond({.close = true});
+    }
+
+    void serve(std::string const& view, http_call const& call, http_responder respond)
+    {
+        if (!call.path.starts_with(key_path))
+            return respond({404, "{}"});
+        std::string key = call.path.substr(key_path.size());
+        if (!view.empty() && entries_.contains(key + "@" + view))
+            key += "@" + view;
+        if (call.method == "PUT" || call.method == "DELETE")
+            return write(key, call, std::move(respond));
+        if (!reads_.allow())
+        {
+            ++calls_["rejected"];
+            return respond({429, "rate limit exceeded"});
+        }
+        if (call.query.contains("recurse"))
+            return respond(list(key));
+        if (call.query.contains("index"))
+            return watch(key, call, std::move(respond));
+        ++calls_["get"];
+        respond(read(key));
+    }
+
+    static json::object to_json(std::string const& key, entry const& e)
+    {
+        return {{"Key", key},
+                {"Value", to_base64(e.value)},
+                {"ModifyIndex", e.index},
+                {"CreateIndex", e.index},
+                {"LockIndex", 0},
+                {"Flags", 0}};
+    }
+
+    http_reply read(std::string const& key) const
+    {
+        auto const it = entries_.find(key);
+        if (it == entries_.end())
+            return {404, "", std::to_string(index_)};
+        return {200, json::serialize(json::array{to_json(key, it->second)}),
+                std::to_string(it->second.index)};
+    }
+
+    http_reply list(std::string const& prefix)
+    {
+        ++calls_["list"];
+        json::array found;
+        for (auto it = entries_.lower_bound(prefix);
+             it != entries_.end() && it->first.starts_with(prefix); ++it)
+            found.push_back(to_json(it->first, it->second));
+        return {found.empty() ? 404U : 200U, json::serialize(found), std::to_string(index_)};
+    }
+
+    // Answers when the key's index differs from the caller's or the key appears, or after the wait.
+    void watch(std::string const& key, http_call const& call, http_responder respond)
+    {
+        ++calls_["watch"];
+        std::uint64_t const known = parse_number(call.query.at("index")).value_or(0);
+        auto const it = entries_.find(key);
+        if (it != entries_.end() && it->second.index != known)
+            return respond(read(key));
+        auto const wait = call.query.contains("wait") ? parse_wait(call.query.at("wait"))
+                                                      : steady::duration(default_wait);
+        auto const w = waiters_.insert(waiters_.end(), waiter{key, known, std::move(respond), {}});
+        w->deadline = alarms_.after(wait,
+                                    [this, w]
+                                    {
+                                        auto const answer = std::move(w->respond);
+                                        auto const reply = read(w->key);
+                                        waiters_.erase(w);
+                                        answer(reply);
+                                    });
+    }
+
+    void wake()
+    {
+        for (auto w = waiters_.begin(); w != waiters_.end();)
+        {
+            auto const it = entries_.find(w->key);
+            bool const changed = it != entries_.end() && it->second.index != w->index;
+            if (!changed)
+            {
+                ++w;
+                continue;
+            }
+            alarms_.cancel(w->deadline);
+            auto const answer = std::move(w->respond);
+            w = waiters_.erase(w);
+            answer(read(it->first));
+        }
+    }
+
+    void write(std::string const& key, http_call const& call, http_responder respond)
+    {
+        if (!writes_.allow())
+        {
+            ++calls_["rejected"];
+            return respond({429, "rate limit exceeded"});
+        }
+        ++calls_[call.method == "PUT" ? "put" : "delete"];
+        if (call.body.size() > max_value_bytes)
+            return respond({413, "value exceeds the limit of 1 MB"});
+        auto const it = entries_.find(key);
+        std::uint64_t const present = it == entries_.end() ? 0 : it->second.index;
+        if (call.query.contains("cas") && parse_number(call.query.at("cas")) != present)
+        {
+            ++calls_["compare_failed"];
+            return respond({200, "false"});
+        }
+        apply(key, call.method == "PUT" ? std::optional(call.body) : std::nullopt);
+        if (lose_answers_ > 0)
+        {
+            --lose_answers_;
+            ++calls_["answers_lost"];
+            return respond({.close = true});
+        }
+        respond({200, "true"});
+    }
+
+    void apply(std::string const& key, std::optional<std::string> value)
+    {
+        ++index_;
+        log_.push_back({index_, key, value});
+        if (value)
+            entries_[key] = {std::move(*value), index_};
+        else
+            entries_.erase(key);
+        wake();
+    }
+
+    // The operators of the platform put back an old backup: later writes are gone.
+    void restore(std::uint64_t to)
+    {
+        while (!log_.empty() && log_.back().index > to)
+            log_.pop_back();
+        entries_.clear();
+        index_ = to;
+        for (record const& r : log_)
+            if (r.value)
+                entries_[r.key] = {*r.value, r.index};
+            else
+                entries_.erase(r.key);
+        wake();
+    }
+
+    http_reply control(json::object const& command)
+    {
+        for (auto const& [name, value] : command)
+        {
+            bool const number = value.is_int64() && value.as_int64() >= 0;
+            std::uint64_t const n = number ? static_cast<std::uint64_t>(value.as_int64()) : 0;
+            if (name == "outage" && value.is_string())
+                set_outage(std::string(value.as_string()));
+            else if (name == "slow_ms" && number)
+                slow_ = milliseconds(n);
+            else if (name == "lose_answers" && number)
+                lose_answers_ = n;
+            else if (name == "restore" && number)
+                restore(n);
+            else if (name == "rate_reads" && number)
+                reads_.set(n);
+            else if (name == "rate_writes" && number)
+                writes_.set(n);
+            else
+                return {400, "{\"error\":\"unknown command or wrong type\"}"};
+        }
+        return {200, json::serialize(stats())};
+    }
+
+    // "off", "close" (connections are closed at once) or "hang" (calls get no answer).
+    void set_outage(std::string const& mode)
+    {
+        outage_ = mode;
+        auto const end = [](std::vector<http_responder> calls)
+        {
+            for (auto& respond : calls)
+                respond({.close = true});
+        };
+        if (mode != "hang")
+            end(std::exchange(hung_, {}));
+        if (mode == "off")
+            return;
+        for (waiter& w : waiters_)
+        {
+            alarms_.cancel(w.deadline);
+            hung_.push_back(std::move(w.respond));
+        }
+        waiters_.clear();
+        if (mode != "hang")
+            end(std::exchange(hung_, {}));
+    }
+
+    json::object stats() const
+    {
+        json::object calls;
+        for (auto const& [kind, count] : calls_)
+            calls[kind] = count;
+        return {{"calls", calls},
+                {"index", index_},
+                {"keys", entries_.size()},
+                {"waiting", waiters_.size()},
+                {"outage", outage_},
+                {"slow_ms", slow_.count()},
+                {"lose_answers", lose_answers_}};
+    }
+
+    struct record
+    {
+        std::uint64_t index{};
+        std::string key;
+        std::optional<std::string> value; // nothing if deleted
+    };
+
+    alarms alarms_;
+    std::map<std::string, entry> entries_;
+    std::vector<record> log_;
+    std::uint64_t index_{};
+    std::list<waiter> waiters_;
+    std::vector<http_responder> hung_;
+    std::map<std::string, std::uint64_t> calls_;
+    std::string outage_{"off"};
+    milliseconds slow_{0};
+    std::uint64_t lose_answers_{};
+    rate_limit reads_;
+    rate_limit writes_;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    options::options_description described("Key-value store stand-in");
+    described.add_options()("listen", options::value<std::string>()->required(), "ip:port")(
+        "view", options::value<std::vector<std::string>>()->default_value({}, ""),
+        "ip:port=ZONE, a port on which the key hosts@ZONE is seen as hosts; repeatable");
+    options::variables_map values;
+    if (!parse_options(argc, argv, described, values))
+        return 0;
+    asio::io_context io(1);
+    key_value_store store(io);
+    auto const serve = [&](std::string const& address, std::string const& view)
+    {
+        serve_http(io, require_endpoint(address, "--listen"),
+                   [&store, view](http_call const& call, http_responder respond)
+                   { store.handle(view, call, std::move(respond)); });
+    };
+    serve(values["listen"].as<std::string>(), "");
+    for (std::string const& item : values["view"].as<std::vector<std::string>>())
+    {
+        auto const parts = split(item, '=');
+        serve(parts.front(), parts.back());
+    }
+    std::cout << "store ready" << std::endl;
+    run_until_stopped(io, values);
+    return 0;
+}
