--- /dev/null
+++ b/standins/common_caller.cpp
@@ -0,0 +1,157 @@
+#include "standins/common_caller.hpp"
+
+#include <array>
+
+namespace chivelever::standins
+{
+
+namespace
+{
+
+constexpr auto open_retransmit = milliseconds(200);
+constexpr auto open_back_off = milliseconds(100); // after a refusal
+constexpr int process_id_bits = 40;               // low bits left for the ids of one process
+
+} // namespace
+
+std::string_view to_text(packet_status status)
+{
+    static constexpr std::array<std::string_view, 12> names{"ok",
+                                                            "shed",
+                                                            "not_run_overloaded",
+                                                            "not_run_moved",
+                                                            "not_run_no_upstream",
+                                                            "not_run_shutting_down",
+                                                            "outcome_unknown",
+                                                            "deadline_exceeded",
+                                                            "cancelled",
+                                                            "zone_out",
+                                                            "upstream_gone",
+                                                            "unknown_service"};
+    auto const i = static_cast<std::size_t>(status);
+    return i < names.size() ? names[i] : "undefined";
+}
+
+json::object to_json(tally const& counts)
+{
+    json::object o;
+    for (auto const& [name, count] : counts)
+        o[name] = count;
+    return o;
+}
+
+caller_port::caller_port(asio::io_context& io, alarms& timers, endpoint fabric, endpoint local,
+                         std::size_t sockets, std::uint64_t seed)
+    : alarms_(timers), fabric_(fabric), next_id_((hash_pair(seed, 1) << process_id_bits) + 1)
+{
+    for (std::size_t i = 0; i < std::max<std::size_t>(sockets, 1); ++i)
+        sockets_.push_back(std::make_unique<udp_socket>(
+            io, local, [this, i](endpoint, std::string_view bytes) { receive(i, bytes); }));
+}
+
+void caller_port::send(std::size_t socket, packet_view const& p)
+{
+    ++counts_["sent"];
+    sockets_[socket]->send(fabric_, out_.encode(p));
+}
+
+void caller_port::receive(std::size_t socket, std::string_view bytes)
+{
+    ++counts_["received"];
+    auto const p = in_.decode(bytes);
+    if (!p)
+    {
+        ++counts_["undecodable"];
+        return;
+    }
+    if (auto const it = by_request_.find(p->request.value); it != by_request_.end())
+    {
+        auto const h = it->second; // the handler may forget itself
+        return h(*p);
+    }
+    if (auto const it = by_flow_.find(std::string(p->flow_id)); it != by_flow_.end())
+    {
+        auto const h = it->second;
+        return h(*p);
+    }
+    ++counts_["unmatched"]; // late or repeated answers
+    if (p->kind == packet_kind::opened)
+        close(socket, p->service, p->flow, std::string(p->flow_id));
+}
+
+void caller_port::open(service_id service, flow_kind kind, std::size_t socket,
+                       steady::duration limit, opened done)
+{
+    auto const o = std::make_shared<opening>(opening{.service = service,
+                                                     .kind = kind,
+                                                     .socket = socket,
+                                                     .limit = steady::now() + limit,
+                                                     .id = next_id(),
+                                                     .done = std::move(done)});
+    if (!by_hand_)
+        return send_open(o);
+    // Not at once, because the caller's own start is still under way.
+    alarms_.after({}, [o] { o->done("by-hand-" + std::to_string(o->id), packet_status::ok); });
+}
+
+void caller_port::send_open(std::shared_ptr<opening> const& o)
+{
+    if (steady::now() >= o->limit)
+    {
+        forget_request(o->id);
+        ++counts_["opens_failed"];
+        return o->done({}, o->status);
+    }
+    on_request(o->id, [this, o](packet_view const& p) { on_open_answer(o, p); });
+    packet_view p;
+    p.kind = packet_kind::open;
+    p.flow = o->kind;
+    p.service = o->service;
+    p.request = {o->id};
+    ++counts_["opens_sent"];
+    send(o->socket, p);
+    o->retry = alarms_.after(open_retransmit, [this, o] { send_open(o); });
+}
+
+void caller_port::on_open_answer(std::shared_ptr<opening> const& o, packet_view const& p)
+{
+    if (p.kind != packet_kind::opened && p.kind != packet_kind::refused)
+        return;
+    alarms_.cancel(o->retry);
+    forget_request(o->id);
+    if (p.kind == packet_kind::opened)
+        return o->done(std::string(p.flow_id), packet_status::ok);
+    o->status = p.status;
+    ++open_refusals_[std::string(to_text(p.status))];
+    o->id = next_id(); // the refusal of the old id is final
+    o->retry = alarms_.after(open_back_off, [this, o] { send_open(o); });
+}
+
+void caller_port::close(std::size_t socket, service_id service, flow_kind kind,
+                        std::string const& flow_id)
+{
+    packet_view p;
+    p.kind = packet_kind::close;
+    p.flow = kind;
+    p.service = service;
+    p.flow_id = flow_id;
+    send(socket, p);
+}
+
+json::object caller_port::report() const
+{
+    json::object o = to_json(counts_);
+    std::uint64_t dropped = 0;
+    std::uint64_t failures = 0;
+    for (auto const& s : sockets_)
+    {
+        dropped += s->dropped();
+        failures += s->send_failures();
+    }
+    o["buffer_drops"] = dropped;
+    o["send_failures"] = failures;
+    o["open_refusals"] = to_json(open_refusals_);
+    return o;
+}
+
+} // namespace chivelever::standins
--- /dev/null
+++ b/standins/common_requests.cpp
@@ -0,0 +1,310 @@
+#include "standins/common_requests.hpp"
+
+#include "standins/common_payload.hpp"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/mean.hpp>
+#include <boost/accumulators/statistics/p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace chivelever::standins
+{
+
+namespace acc = boost::accumulators;
+
+namespace
+{
+
+constexpr auto tick_interval = milliseconds(1);
+constexpr auto retransmit_interval = milliseconds(200);
+constexpr auto flow_lifetime = std::chrono::seconds(20);
+constexpr auto open_limit = std::chrono::seconds(5);
+constexpr auto repeat_delay = milliseconds(20);
+// How long after the deadline a caller still asks what became of a request.
+constexpr auto patience = milliseconds(1500);
+constexpr std::array<double, 4> probabilities{0.5, 0.9, 0.99, 0.999};
+
+} // namespace
+
+// One estimator for each quantile. The accumulator for several quantiles together gives a false
+// warning under GCC 12 (maybe-uninitialized).
+struct request_load::latency
+{
+    using quantile_set = acc::accumulator_set<double, acc::stats<acc::tag::p_square_quantile>>;
+
+    void add(double value)
+    {
+        for (quantile_set& q : quantiles)
+            q(value);
+        overall(value);
+    }
+    double quantile(std::size_t i) const { return acc::p_square_quantile(quantiles[i]); }
+
+    std::array<quantile_set, probabilities.size()> quantiles{
+        quantile_set(acc::quantile_probability = probabilities[0]),
+        quantile_set(acc::quantile_probability = probabilities[1]),
+        quantile_set(acc::quantile_probability = probabilities[2]),
+        quantile_set(acc::quantile_probability = probabilities[3])};
+    acc::accumulator_set<double, acc::stats<acc::tag::mean, acc::tag::max>> overall;
+};
+
+request_load::request_load(caller_port& port, request_settings settings, std::uint64_t seed)
+    : port_(port), settings_(std::move(settings)), random_(seed),
+      latency_(std::make_shared<latency>())
+{
+    for (std::size_t i = 0; i < settings_.flows; ++i)
+        for (service_id const service : settings_.services)
+            flows_.push_back({.service = service, .socket = port_.next_socket()});
+}
+
+void request_load::start()
+{
+    for (std::size_t i = 0; i < flows_.size(); ++i)
+        open_flow(i);
+    begun_ = steady::now();
+    if (settings_.count > 0)
+        tick();
+}
+
+void request_load::open_flow(std::size_t index)
+{
+    request_flow& f = flows_[index];
+    f.opening = true;
+    port_.open(f.service, flow_kind::request, f.socket, open_limit,
+               [this, index](std::string const& id, packet_status)
+               {
+                   request_flow& flow = flows_[index];
+                   flow.opening = false;
+                   if (id.empty())
+                   {
+                       ++counts_["flow_opens_failed"];
+                       return open_flow(index);
+                   }
+                   if (flow.id.empty())
+                       ++usable_flows_;
+                   else
+                       port_.close(flow.socket, flow.service, flow_kind::request, flow.id);
+                   flow.id = id;
+                   flow.opened_at = steady::now();
+                   ++counts_["flows_opened"];
+               });
+}
+
+// After the flow with this id was found unusable.
+void request_load::renew_flow(std::size_t index, std::string const& old_id)
+{
+    request_flow& f = flows_[index];
+    if (f.id != old_id || f.opening)
+        return;
+    f.id.clear();
+    --usable_flows_;
+    open_flow(index);
+}
+
+void request_load::tick()
+{
+    auto const elapsed = std::chrono::duration<double>(steady::now() - begun_).count();
+    auto const due =
+        std::min(settings_.count, static_cast<std::uint64_t>(elapsed * settings_.rate));
+    while (started_ < due)
+        start_request();
+    if (started_ < settings_.count)
+        port_.timers().after(tick_interval, [this] { tick(); });
+}
+
+void request_load::start_request()
+{
+    auto const r = std::make_shared<request>();
+    ++started_;
+    ++outstanding_;
+    r->order = port_.next_id();
+    r->flow = next_flow_++ % flows_.size();
+    r->idempotent = std::bernoulli_distribution(settings_.idempotent)(random_);
+    r->payload = request_payload(flows_[r->flow].service, r->order, settings_.filler_bytes);
+    r->started = steady::now();
+    r->deadline = r->started + milliseconds(settings_.deadline_ms);
+    if (std::bernoulli_distribution(settings_.cancelled)(random_))
+        port_.timers().after(milliseconds(settings_.deadline_ms / 4),
+                             [this, r] { send_cancel(r); });
+    assign(r);
+}
+
+// Binds the request to a usable flow of its service, or waits for one.
+void request_load::assign(request_ptr const& r)
+{
+    auto const now = steady::now();
+    if (now >= r->deadline)
+        return finish(r, "refused");
+    service_id const service = flows_[r->flow].service;
+    for (std::size_t i = 0; i < flows_.size(); ++i)
+    {
+        std::size_t const index = (r->flow + i) % flows_.size();
+        request_flow& f = flows_[index];
+        if (f.service != service || f.id.empty())
+            continue;
+        if (now - f.opened_at > flow_lifetime && !f.opening)
+            open_flow(index); // the old id stays in use until the new one is there
+        r->flow = index;
+        r->flow_id = f.id;
+        r->id = port_.next_id();
+        port_.on_request(r->id, [this, r](packet_view const& p) { on_answer(r, p); });
+        return transmit(r);
+    }
+    ++counts_["waits_for_flow"];
+    r->retransmit = port_.timers().after(repeat_delay, [this, r] { assign(r); });
+}
+
+void request_load::transmit(request_ptr const& r)
+{
+    auto const now = steady::now();
+    if (now > r->deadline + patience)
+        return finish(r, "silent");
+    if (r->sent)
+        ++counts_["retransmitted"];
+    r->sent = true;
+    auto const left = std::chrono::duration_cast<milliseconds>(r->deadline - now).count();
+    packet_view p;
+    p.kind = packet_kind::request;
+    p.flow = flow_kind::request;
+    p.service = flows_[r->flow].service;
+    p.flow_id = r->flow_id;
+    p.request = {r->id};
+    p.deadline_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(left, 1));
+    p.idempotent = r->idempotent;
+    p.payload = r->payload;
+    port_.send(flows_[r->flow].socket, p);
+    r->retransmit = port_.timers().after(retransmit_interval, [this, r] { transmit(r); });
+}
+
+void request_load::send_cancel(request_ptr const& r)
+{
+    if (r->id == 0)
+        return;
+    ++counts_["cancels_sent"];
+    packet_view p;
+    p.kind = packet_kind::cancel;
+    p.flow = flow_kind::request;
+    p.service = flows_[r->flow].service;
+    p.flow_id = r->flow_id;
+    p.request = {r->id};
+    port_.send(flows_[r->flow].socket, p);
+}
+
+void request_load::on_answer(request_ptr const& r, packet_view const& p)
+{
+    bool const given_up = p.kind == packet_kind::given_up;
+    if (!given_up && p.kind != packet_kind::answer && p.kind != packet_kind::refused)
+        return;
+    ++statuses_[std::string(given_up ? "given_up_" : "") + std::string(to_text(p.status))];
+    if (given_up)
+    {
+        renew_flow(r->flow, r->flow_id);
+        return r->idempotent ? repeat(r, "refused") : finish(r, "unknown");
+    }
+    switch (p.status)
+    {
+    case packet_status::ok:
+        return on_ok(r, p);
+    case packet_status::not_run_moved:
+    case packet_status::not_run_no_upstream:
+    case packet_status::not_run_shutting_down:
+        renew_flow(r->flow, r->flow_id);
+        return repeat(r, "refused");
+    case packet_status::outcome_unknown:
+        renew_flow(r->flow, r->flow_id);
+        return r->idempotent ? repeat(r, "unknown") : finish(r, "unknown");
+    case packet_status::deadline_exceeded:
+        return finish(r, "expired");
+    case packet_status::cancelled:
+        return finish(r, "cancelled");
+    default:
+        return finish(r, "refused");
+    }
+}
+
+void request_load::on_ok(request_ptr const& r, packet_view const& p)
+{
+    auto const upstream = check_answer(p.payload, flows_[r->flow].service, r->payload);
+    if (!upstream)
+        return finish(r, "wrong");
+    ++per_upstream_[upstream->value];
+    auto const now = steady::now();
+    latency_->add(std::chrono::duration<double, std::milli>(now - r->started).count());
+    auto const second =
+        static_cast<std::size_t>(std::chrono::duration<double>(now - begun_).count());
+    if (per_second_.size() <= second)
+        per_second_.resize(second + 1);
+    ++per_second_[second];
+    finish(r, now <= r->deadline ? "answered" : "late");
+}
+
+// Sends the request again under a new id, after an answer which says that it did not run.
+void request_load::repeat(request_ptr const& r, char const* otherwise)
+{
+    port_.timers().cancel(r->retransmit);
+    port_.forget_request(r->id);
+    if (steady::now() + repeat_delay >= r->deadline)
+        return finish(r, otherwise);
+    ++counts_["repeated"];
+    r->id = 0;
+    r->sent = false;
+    r->retransmit = port_.timers().after(repeat_delay, [this, r] { assign(r); });
+}
+
+void request_load::finish(request_ptr const& r, std::string const& outcome)
+{
+    port_.timers().cancel(r->retransmit);
+    port_.forget_request(r->id);
+    r->id = 0;
+    ++counts_[outcome];
+    --outstanding_;
+    last_finish_ = steady::now();
+}
+
+std::uint64_t request_load::count(std::string const& name) const
+{
+    auto const it = counts_.find(name);
+    return it == counts_.end() ? 0 : it->second;
+}
+
+double request_load::quantile_ms(double probability) const
+{
+    auto const it = std::find(probabilities.begin(), probabilities.end(), probability);
+    if (it == probabilities.end() || count("answered") + count("late") == 0)
+        return 0;
+    return latency_->quantile(static_cast<std::size_t>(it - probabilities.begin()));
+}
+
+double request_load::throughput() const
+{
+    double const seconds = std::chrono::duration<double>(last_finish_ - begun_).count();
+    return seconds > 0 ? static_cast<double>(count("answered")) / seconds : 0;
+}
+
+json::object request_load::report() const
+{
+    json::object upstreams;
+    for (auto const& [id, answers] : per_upstream_)
+        upstreams[std::to_string(id)] = answers;
+    json::object ms;
+    if (count("answered") + count("late") != 0)
+        ms = {{"mean", acc::mean(latency_->overall)},
+              {"p50", quantile_ms(0.5)},
+              {"p90", quantile_ms(0.9)},
+              {"p99", quantile_ms(0.99)},
+              {"p999", quantile_ms(0.999)},
+              {"max", acc::max(latency_->overall)}};
+    return {{"offered", started_},
+            {"counts", to_json(counts_)},
+            {"statuses", to_json(statuses_)},
+            {"latency_ms", ms},
+            {"throughput", throughput()},
+            {"answers_per_second", json::value_from(per_second_)},
+            {"answers_per_upstream", upstreams}};
+}
+
+} // namespace chivelever::standins
--- a/standins/store.cpp
+++ b/standins/store.cpp
@@ -119,7 +119,7 @@
         if (!view.empty() && entries_.contains(key + "@" + view))
             key += "@" + view;
         if (call.method == "PUT" || call.method == "DELETE")
-            return write(key, call, std::move(respond));
+            return write(key, call, respond);
         if (!reads_.allow())
         {
             ++calls_["rejected"];
@@ -201,7 +201,7 @@
         }
     }
 
-    void write(std::string const& key, http_call const& call, http_responder respond)
+    void write(std::string const& key, http_call const& call, http_responder const& respond)
     {
         if (!writes_.allow())
         {
@@ -282,9 +282,9 @@
     void set_outage(std::string const& mode)
     {
         outage_ = mode;
-        auto const end = [](std::vector<http_responder> calls)
+        auto const end = [](std::vector<http_responder> const& calls)
         {
-            for (auto& respond : calls)
+            for (auto const& respond : calls)
                 respond({.close = true});
         };
         if (mode != "hang")
