--- a/coordination/coordination.hpp
+++ b/coordination/coordination.hpp
@@ -3,7 +3,17 @@
 #define CHIVELEVER_COORDINATION_COORDINATION_HPP
 
 // IWYU pragma: begin_exports
+#include "coordination/cluster_view.hpp"
 #include "coordination/concepts.hpp"
+#include "coordination/config_log.hpp"
+#include "coordination/config_rules.hpp"
+#include "coordination/ledger.hpp"
+#include "coordination/membership.hpp"
+#include "coordination/pool.hpp"
+#include "coordination/pool_lease.hpp"
+#include "coordination/retry_budget.hpp"
+#include "coordination/router.hpp"
+#include "coordination/upstream_limit.hpp"
 // IWYU pragma: end_exports
 
 #endif
--- a/state/state.hpp
+++ b/state/state.hpp
@@ -4,6 +4,7 @@
 #define CHIVELEVER_STATE_STATE_HPP
 
 // IWYU pragma: begin_exports
+#include "state/checked.hpp"
 #include "state/config.hpp"
 #include "state/events.hpp"
 #include "state/findings.hpp"
@@ -12,6 +13,7 @@
 #include "state/ids.hpp"
 #include "state/invariants.hpp"
 #include "state/messages.hpp"
+#include "state/published.hpp"
 #include "state/shard.hpp"
 #include "state/table.hpp"
 // IWYU pragma: end_exports
