--- a/standins/store.cpp
+++ b/standins/store.cpp
@@ -76,9 +76,7 @@
 public:
     explicit key_value_store(asio::io_context& io) : alarms_(io) {}
 
-    // View is the zone through whose port the call came. A key "hosts@ZONE" replaces "hosts" there,
-    // because hosts of a zone reach other zones through relays with addresses of their own.
-    void handle(std::string const& view, http_call const& call, http_responder respond)
+    void handle(http_call const& call, http_responder respond)
     {
         if (call.path == "/control" && call.method == "POST")
             return respond(control(parse_object(call.body)));
@@ -88,9 +86,9 @@
         if (outage_ != "off")
             return refuse(std::move(respond));
         if (slow_ == milliseconds(0))
-            return serve(view, call, std::move(respond));
-        alarms_.after(slow_, [this, view, call, respond = std::move(respond)]() mutable
-                      { serve(view, call, std::move(respond)); });
+            return serve(call, std::move(respond));
+        alarms_.after(slow_, [this, call, respond = std::move(respond)]() mutable
+                      { serve(call, std::move(respond)); });
     }
 
 private:
@@ -111,13 +109,11 @@
             respond({.close = true});
     }
 
-    void serve(std::string const& view, http_call const& call, http_responder respond)
+    void serve(http_call const& call, http_responder respond)
     {
         if (!call.path.starts_with(key_path))
             return respond({404, "{}"});
-        std::string key = call.path.substr(key_path.size());
-        if (!view.empty() && entries_.contains(key + "@" + view))
-            key += "@" + view;
+        std::string const key = call.path.substr(key_path.size());
         if (call.method == "PUT" || call.method == "DELETE")
             return write(key, call, respond);
         if (!reads_.allow())
@@ -341,26 +337,15 @@
 int main(int argc, char** argv)
 {
     options::options_description described("Key-value store stand-in");
-    described.add_options()("listen", options::value<std::string>()->required(), "ip:port")(
-        "view", options::value<std::vector<std::string>>()->default_value({}, ""),
-        "ip:port=ZONE, a port on which the key hosts@ZONE is seen as hosts; repeatable");
+    described.add_options()("listen", options::value<std::string>()->required(), "ip:port");
     options::variables_map values;
     if (!parse_options(argc, argv, described, values))
         return 0;
     asio::io_context io(1);
     key_value_store store(io);
-    auto const serve = [&](std::string const& address, std::string const& view)
-    {
-        serve_http(io, require_endpoint(address, "--listen"),
-                   [&store, view](http_call const& call, http_responder respond)
-                   { store.handle(view, call, std::move(respond)); });
-    };
-    serve(values["listen"].as<std::string>(), "");
-    for (std::string const& item : values["view"].as<std::vector<std::string>>())
-    {
-        auto const parts = split(item, '=');
-        serve(parts.front(), parts.back());
-    }
+    serve_http(io, require_endpoint(values["listen"].as<std::string>(), "--listen"),
+               [&store](http_call const& call, http_responder respond)
+               { store.handle(call, std::move(respond)); });
     std::cout << "store ready" << std::endl;
     run_until_stopped(io, values);
     return 0;
