Let the caution after failed climbs fade, and weigh slow answers

Change: a slow answer takes back two on-time ones; caution halves every 3 s; a mean stands in for the median until an upstream is warm.

--- a/coordination/pool.hpp
+++ b/coordination/pool.hpp
@@ -211,7 +211,8 @@
     bool shutting_down_{};
     time_point last_expiry_{time_point::min()};
     time_point last_flow_expiry_{};
-    duration recent_median_{}; // latest median of any upstream; zero if none is known
+    duration recent_median_{}; // latest median of any upstream; until one is known, a mean
+    bool median_known_{};
 
     std::vector<upstream> upstreams_; // an index stays in use while attempts or flows name it
     std::unordered_map<std::uint32_t, counted_flow> flows_; // by serial number
--- a/coordination/pool_dispatch.cpp
+++ b/coordination/pool_dispatch.cpp
@@ -24,6 +24,8 @@
 constexpr duration min_patience = milliseconds(50);
 // With fewer medians of time than this, a time-out says nothing about the upstream.
 constexpr int judged_medians = 3;
+// While no upstream is warm, a moving mean over this many answers stands in for the median.
+constexpr int mean_of_answers = 8;
 // A probe may fail, which an idempotent request survives. Others are used if no other upstream has
 // room, or if no idempotent request came along for this time.
 constexpr duration wait_for_idempotent_probe = std::chrono::seconds(2);
@@ -325,7 +327,17 @@
     u.answered_sent = std::max(u.answered_sent, sent);
     u.limit.on_answer(sent, now, climb_);
     if (auto const median = u.limit.warm_median())
+    {
         recent_median_ = *median;
+        median_known_ = true;
+    }
+    else if (!median_known_)
+    {
+        duration const latency = std::max(now - sent, duration{1});
+        recent_median_ = recent_median_ == duration{}
+                             ? latency
+                             : recent_median_ + (latency - recent_median_) / mean_of_answers;
+    }
     if (was_probing && !u.limit.probing())
         for (upstream& other : upstreams_)
             other.limit.hasten_probe(now);
--- a/coordination/upstream_limit.cpp
+++ b/coordination/upstream_limit.cpp
@@ -14,14 +14,18 @@
 // Service times with a long tail exceed three medians now and then (an exponential one in 12% of
 // the answers), so that a single slow answer is no evidence of an overloaded upstream.
 constexpr std::uint16_t slow_answers_to_fall = 4;
+// A slow answer takes back this many on-time ones. A warm upstream with exponential service times
+// still rises (12% of its answers are slow), one that is four times slower does not (60%).
+constexpr std::uint32_t slow_answer_cost = 2;
 constexpr std::size_t answers_per_median = 8;
-constexpr std::uint32_t max_caution = 64;
+constexpr std::uint32_t max_caution = 32;
 // A climber without a result, for lack of requests, gives way to another after this time.
 constexpr duration climb_time = std::chrono::seconds(5);
 // What one upstream has shown is good for the others for this time.
 constexpr duration proven_time = std::chrono::seconds(30);
-// Caution halves when a climb succeeds this long after the last failed one.
-constexpr duration caution_time = std::chrono::seconds(30);
+// Without a halving in time, single slow answers kept upstreams at the cold limit for good.
+constexpr duration caution_half_life = std::chrono::seconds(3);
+
 // Spreads the probes of upstreams that failed together over the back-off, so that one of them soon
 // sees the end of an outage: a factor between 1/2 and 1 by the golden ratio of the number.
 double spread(std::uint32_t who)
@@ -49,11 +53,12 @@
     proven_until_ = now + proven_time;
     if (who == climber_)
         climbing_until_ = time_point::min();
-    if (caution_ > 1 && now - last_failure_ >= caution_time)
-    {
-        caution_ /= 2;
-        last_failure_ = now;
-    }
+}
+
+std::uint32_t climb_guard::caution(time_point now) const
+{
+    auto const halvings = std::min<duration::rep>((now - last_failure_) / caution_half_life, 31);
+    return std::max(caution_ >> halvings, 1U);
 }
 
 void climb_guard::failed(std::uint32_t who, time_point now)
@@ -61,7 +66,7 @@
     proven_until_ = time_point::min();
     if (who == climber_)
         climbing_until_ = time_point::min();
-    caution_ = std::min(caution_ * 2, max_caution);
+    caution_ = std::min(caution(now) * 2, max_caution);
     last_failure_ = now;
 }
 
@@ -121,7 +126,7 @@
     }
     probing_ = false;
     back_off_ = {};
-    on_time_ = slow ? 0 : on_time_ + 1;
+    on_time_ = slow ? on_time_ - std::min(on_time_, slow_answer_cost) : on_time_ + 1;
     rise(now, guard);
 }
 
@@ -136,7 +141,7 @@
         if (settled_ && settings_.slots > settings_.cold_limit)
             guard.reached_full(settings_.who, now);
     }
-    else if (on_time_ >= settings_.warm_up_answers * guard.caution() &&
+    else if (on_time_ >= settings_.warm_up_answers * guard.caution(now) &&
              guard.may_rise(settings_.who, now))
     {
         ++limit_;
--- a/coordination/upstream_limit.hpp
+++ b/coordination/upstream_limit.hpp
@@ -23,11 +23,12 @@
 // Shared by the upstreams of a pool. Answers at the cold limit don't show whether an upstream bears
 // more: one that warms up by time answers well there and falls over above. So one upstream at a
 // time tries higher limits until one has worked at its full limit, after which the others follow.
-// Each failed climb doubles the number of answers needed.
+// Each failed climb doubles the number of answers needed, and time without one halves it again.
 class climb_guard
 {
 public:
-    std::uint32_t caution() const { return caution_; }
+    // Factor of the number of answers needed.
+    std::uint32_t caution(time_point now) const;
     bool may_rise(std::uint32_t who, time_point now) const;
     void rose(std::uint32_t who, time_point now);
     void reached_full(std::uint32_t who, time_point now);
@@ -38,7 +39,7 @@
     std::uint32_t climber_{};
     time_point climbing_until_{time_point::min()};
     time_point proven_until_{time_point::min()};
-    time_point last_failure_{time_point::min()};
+    time_point last_failure_{};
 };
 
 // The upstream's own answers are the only evidence used, because its health and load endpoints lag
@@ -78,7 +79,7 @@
 
     upstream_limit_settings settings_;
     std::uint16_t limit_{1};
-    std::uint32_t on_time_{}; // consecutive on-time answers since the last rise
+    std::uint32_t on_time_{}; // on-time answers since the last rise, less slow ones
     bool settled_{};          // has worked at the full limit
     std::uint16_t slow_{};    // consecutive slow answers
     bool probing_{};
