Add submitting and watching of configuration changes in the store

Cause: answers of the store get lost, it is out for minutes, operators race, and it may return restored to an older state; accepted changes must stay accepted.

--- /dev/null
+++ b/coordination/store_sync.hpp
@@ -0,0 +1,54 @@
+// What submitting and watching have in common: names and texts of the values in the store, and the
+// back-off after failed calls. The store decides races by create-if-absent; everything built on
+// this may be repeated safely.
+#ifndef CHIVELEVER_COORDINATION_STORE_SYNC_HPP
+#define CHIVELEVER_COORDINATION_STORE_SYNC_HPP
+
+#include "coordination/concepts.hpp"
+#include "state/state.hpp"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace chivelever
+{
+
+// Texts of the values in the store. The daemon fills them in from the protocol package, which this
+// package does not link.
+struct store_codec
+{
+    std::function<std::string(config_change const&)> write_change;
+    std::function<std::optional<config_change>(std::string const&)> read_change;
+    std::function<std::string(fleet_config const&)> write_config;
+    std::function<std::optional<fleet_config>(std::string const&)> read_config;
+};
+
+struct store_keys
+{
+    std::string deployment;
+    std::string change(revision rev) const
+    {
+        return deployment + "/config/change/" + std::to_string(rev.value);
+    }
+    std::string snapshot() const { return deployment + "/config/snapshot"; }
+};
+
+// Full-jitter exponential back-off: each pause is uniform between 0 and a bound that doubles, so
+// that clients which fail together do not return together.
+class jitter_backoff
+{
+public:
+    static constexpr duration first{200'000};      // 200 ms
+    static constexpr duration longest{30'000'000}; // 30 s
+
+    duration next(std::uint64_t random);
+    void reset() { bound_ = first; }
+
+private:
+    duration bound_{first};
+};
+
+} // namespace chivelever
+
+#endif
