Add the HTTP API's handler

Cause: operators and their client need one API that any daemon serves, and the daemon should bind it to its HTTP library without logic in between.

--- /dev/null
+++ b/tests/fake_backend.hpp
@@ -0,0 +1,62 @@
+// A backend of the HTTP API over an in-memory store: two hosts, of which the second is behind.
+#ifndef CHIVELEVER_TESTS_FAKE_BACKEND_HPP
+#define CHIVELEVER_TESTS_FAKE_BACKEND_HPP
+
+#include "config_sample.hpp"
+#include "fake_store.hpp"
+#include "transport/transport.hpp"
+
+#include <string>
+
+namespace sample
+{
+
+struct fake_backend
+{
+    fake_store store;
+    chivelever::config_log log;
+    chivelever::change_submitter<fake_store> submitter{
+        store, log, chivelever::json_store_codec(), {"test"}};
+    chivelever::event_ring events;
+    std::string level;
+    bool second_follows = false; // whether the second host has applied everything
+
+    fake_backend() { submitter.submit(first_change(), {}); }
+
+    chivelever::api_backend backend()
+    {
+        using namespace chivelever;
+        api_backend b;
+        b.status = [this] {
+            return boost::json::object{{"host", "akl-1"}, {"revision", log.rev().value}};
+        };
+        b.config = [this] { return log.current(); };
+        b.changes = [this](revision since) { return log.changes_since(since); };
+        b.timeline = [this](hybrid_time since, std::string const& subject)
+        { return events.select(since, subject); };
+        b.why = [](std::string const& subject) {
+            return boost::json::object{{"subject", subject}};
+        };
+        b.submit = [this](proposed_change const& p) {
+            return submitter.submit(p.change, {log.rev(), {}, p.base});
+        };
+        b.ask = [this](std::string const& id) { return submitter.ask(id); };
+        b.progress = [this]
+        {
+            return std::vector<host_progress>{
+                {"akl-1", log.rev(), true},
+                {"akl-2", second_follows ? log.rev() : revision{1}, true}};
+        };
+        b.in_force_everywhere = [this] { return log.rev(); };
+        b.set_log_level = [this](std::string const& severity)
+        {
+            level = severity;
+            return severity == "debug" || severity == "info";
+        };
+        return b;
+    }
+};
+
+} // namespace sample
+
+#endif
--- a/tests/fake_store.hpp
+++ b/tests/fake_store.hpp
@@ -47,7 +47,7 @@
             late_.push_back({key, value, expected});
             return {chivelever::store_status::unreachable, {}, 0};
         }
-        chivelever::store_value const done = write(key, value, expected);
+        chivelever::store_value done = write(key, value, expected);
         if (chance(fault.lost_answer))
             return {chivelever::store_status::unreachable, {}, 0};
         return done;
--- /dev/null
+++ b/transport/api.hpp
@@ -0,0 +1,104 @@
+// The HTTP API for operators, independent of the HTTP library: a request value in, a response value
+// out. The daemon binds it to its HTTP endpoint and provides the backend.
+//
+//   GET  /api/v1/status
+//   GET  /api/v1/config
+//   GET  /api/v1/changes?since=REVISION     changes after the revision
+//   GET  /api/v1/changes?id=CHANGE_ID       outcome of a change
+//   GET  /api/v1/timeline?since=UNIX_MS&subject=TEXT
+//   GET  /api/v1/why?subject=TEXT
+//   POST /api/v1/changes                    a proposed_change
+//   POST /api/v1/check                      a proposed_change; validates only
+//   POST /api/v1/log-level                  {"severity": "debug"}
+//
+// Every POST needs the operators' token.
+#ifndef CHIVELEVER_TRANSPORT_API_HPP
+#define CHIVELEVER_TRANSPORT_API_HPP
+
+#include "coordination/coordination.hpp"
+#include "protocol/protocol.hpp"
+#include "state/state.hpp"
+
+#include <boost/json/object.hpp>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chivelever
+{
+
+struct api_request
+{
+    std::string method;
+    std::string path; // without the query
+    std::map<std::string, std::string> query;
+    std::string body;
+    std::string token; // from "Authorization: Bearer TOKEN"
+};
+
+struct api_response
+{
+    int status{};
+    std::string content_type;
+    std::string body;
+    bool operator==(api_response const&) const = default;
+};
+
+// How far one listed host is.
+struct host_progress
+{
+    std::string name;
+    revision rev;
+    bool reached{}; // its revision is known
+    auto operator<=>(host_progress const&) const = default;
+};
+
+// What the daemon provides. Calls come from the threads of the HTTP endpoint and may block.
+struct api_backend
+{
+    std::function<boost::json::object()> status;
+    std::function<config_ptr()> config;
+    // Nothing if the changes after the revision are no longer kept.
+    std::function<std::optional<std::vector<config_change>>(revision since)> changes;
+    std::function<std::vector<event>(hybrid_time since, std::string const& subject)> timeline;
+    // Why the subject is as it is: current state and the decisions that led to it.
+    std::function<boost::json::object(std::string const& subject)> why;
+    std::function<submit_result(proposed_change const&)> submit;
+    std::function<submit_result(std::string const& change_id)> ask;
+    std::function<std::vector<host_progress>()> progress;
+    std::function<revision()> in_force_everywhere;
+    // False if there is no such level.
+    std::function<bool(std::string const& severity)> set_log_level;
+};
+
+// Pairs of a query string ("since=5&subject=a%2Fb"), decoded.
+std::map<std::string, std::string> parse_query(std::string_view raw);
+
+class api_handler
+{
+public:
+    api_handler(api_backend backend, std::string operator_token);
+
+    api_response handle(api_request const& request) const;
+
+private:
+    api_response get(api_request const& request) const;
+    api_response post(api_request const& request) const;
+    api_response get_changes(api_request const& request) const;
+    api_response get_timeline(api_request const& request) const;
+    api_response post_change(api_request const& request) const;
+    api_response post_check(api_request const& request) const;
+    api_response post_log_level(api_request const& request) const;
+    api_response outcome(submit_result const& result, std::string const& change_id) const;
+    bool authorized(std::string const& token) const;
+
+    api_backend backend_;
+    std::string token_;
+};
+
+} // namespace chivelever
+
+#endif
--- a/transport/transport.hpp
+++ b/transport/transport.hpp
@@ -6,6 +6,7 @@
 // IWYU pragma: begin_exports
 #include "coordination/coordination.hpp"
 #include "protocol/protocol.hpp"
+#include "transport/api.hpp"
 #include "transport/store_codec.hpp"
 // IWYU pragma: end_exports
 
