Add the operators' client

Cause: operators need one command line that is safe to repeat over bad links. Change: client/ has the commands config, exception, zone, upstream, service, key, status, timeline, why, log-level and version over the HTTP API (Boost.Beast). One change id serves all tries of a command, so a lost answer never doubles a change.

--- a/client/main.cpp
+++ b/client/main.cpp
@@ -1,6 +1,12 @@
-#include "state/state.hpp"
+// The operators' client.
+#include "client/command.hpp"
 
-int main()
+#include <iostream>
+#include <unistd.h>
+
+int main(int argc, char** argv)
 {
-    return 0;
+    std::vector<std::string> const arguments(argv + 1, argv + argc);
+    bool const terminal = ::isatty(STDERR_FILENO) != 0;
+    return chivelever::client::run(arguments, {std::cout, std::cerr, terminal});
 }
--- /dev/null
+++ b/tests/http_server.hpp
@@ -0,0 +1,99 @@
+// A small HTTP server around the API's handler, for tests of the client.
+#ifndef CHIVELEVER_TESTS_HTTP_SERVER_HPP
+#define CHIVELEVER_TESTS_HTTP_SERVER_HPP
+
+#include "transport/transport.hpp"
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <string>
+#include <thread>
+
+namespace sample
+{
+
+class http_server
+{
+public:
+    explicit http_server(chivelever::api_handler const& handler)
+        : handler_(handler), acceptor_(io_, {boost::asio::ip::address_v4::loopback(), 0}),
+          thread_([this] { run(); })
+    {
+    }
+    ~http_server()
+    {
+        // A last connection ends the wait for the next one.
+        stopping = true;
+        boost::asio::io_context io;
+        boost::asio::ip::tcp::socket socket(io);
+        boost::system::error_code ignored;
+        socket.connect(acceptor_.local_endpoint(), ignored);
+        thread_.join();
+    }
+    http_server(http_server const&) = delete;
+    http_server& operator=(http_server const&) = delete;
+
+    std::string address() const
+    {
+        return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+    }
+
+    std::atomic<bool> stopping{false};
+    std::atomic<int> drop_answers{0}; // so many requests are carried out but not answered
+
+private:
+    void run()
+    {
+        while (!stopping)
+        {
+            boost::system::error_code error;
+            boost::asio::ip::tcp::socket socket(io_);
+            acceptor_.accept(socket, error);
+            if (!error && !stopping)
+                serve(socket);
+        }
+    }
+
+    void serve(boost::asio::ip::tcp::socket& socket)
+    {
+        namespace http = boost::beast::http;
+        boost::beast::flat_buffer buffer;
+        http::request<http::string_body> in;
+        boost::system::error_code error;
+        http::read(socket, buffer, in, error);
+        if (error)
+            return;
+        std::string const target(in.target());
+        auto const mark = target.find('?');
+        chivelever::api_request request{
+            std::string(in.method_string()), target.substr(0, mark), {}, in.body(), {}};
+        if (mark != std::string::npos)
+            request.query = chivelever::parse_query(target.substr(mark + 1));
+        std::string const bearer(in[http::field::authorization]);
+        if (bearer.starts_with("Bearer "))
+            request.token = bearer.substr(7);
+        chivelever::api_response const answer = handler_.handle(request);
+        if (request.method == "POST" && drop_answers > 0)
+        {
+            --drop_answers;
+            return;
+        }
+        http::response<http::string_body> out{static_cast<http::status>(answer.status), 11};
+        out.set(http::field::content_type, answer.content_type);
+        out.body() = answer.body;
+        out.prepare_payload();
+        http::write(socket, out, error);
+    }
+
+    chivelever::api_handler const& handler_;
+    boost::asio::io_context io_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::thread thread_;
+};
+
+} // namespace sample
+
+#endif
