--- a/daemon/config_agent.cpp
+++ b/daemon/config_agent.cpp
@@ -15,8 +15,8 @@
     list.hosts.push_back({listed_kind::entry, s.id.value, s.zone, host_state::live, s.packet_listen,
                           s.peer_listen, s.grpc_listen});
     for (peer_settings const& p : s.peers)
-        list.hosts.push_back({listed_kind::entry, p.id.value, p.zone, host_state::live, p.packet,
-                              p.peer, p.grpc});
+        list.hosts.push_back(
+            {listed_kind::entry, p.id.value, p.zone, host_state::live, p.packet, p.peer, p.grpc});
     return list;
 }
 
@@ -24,13 +24,11 @@
 
 config_agent::config_agent(context& shared, packet_plane& packets, control_plane& control,
                            peer_client& calls, boost::asio::thread_pool& background)
-    : shared_(shared), packets_(packets), control_(control), calls_(calls),
-      background_(background),
-      pulls_(shared.counters.count("config_pulls_total",
-                                   "Configuration pulls from other hosts.", "result=\"done\"")),
-      failed_pulls_(shared.counters.count("config_pulls_total",
-                                          "Configuration pulls from other hosts.",
-                                          "result=\"failed\"")),
+    : shared_(shared), packets_(packets), control_(control), calls_(calls), background_(background),
+      pulls_(shared.counters.count("config_pulls_total", "Configuration pulls from other hosts.",
+                                   "result=\"done\"")),
+      failed_pulls_(shared.counters.count(
+          "config_pulls_total", "Configuration pulls from other hosts.", "result=\"failed\"")),
       list_(list_from_settings(shared.settings))
 {
     shared.counters.gauge("config_revision", "Revision of the configuration in force here.",
@@ -43,11 +41,10 @@
     time_point const now = monotonic_now();
     config_ptr const config = log_.current();
     invariants::check(config->rev >= published_, "a configuration never reverts", "config_agent");
-    auto const table = std::make_shared<routing_table const>(*config, list_,
-                                                             shared_.settings.cluster_secret);
+    auto const table =
+        std::make_shared<routing_table const>(*config, list_, shared_.settings.cluster_secret);
     shared_.table.set(table);
-    shared_.ramp.set(
-        std::make_shared<zone_ramp const>(shared_.ramp.get()->updated(*table, now)));
+    shared_.ramp.set(std::make_shared<zone_ramp const>(shared_.ramp.get()->updated(*table, now)));
     packets_.table_changed(now);
     control_.table_changed(now);
     if (config->rev == published_)
@@ -55,8 +52,8 @@
     published_ = config->rev;
     shared_.record("config.applied", "change/" + config->last_change,
                    "revision " + std::to_string(config->rev.value));
-    log::info("config.applied", {{"revision", std::to_string(config->rev.value)},
-                                 {"change", config->last_change}});
+    log::info("config.applied",
+              {{"revision", std::to_string(config->rev.value)}, {"change", config->last_change}});
 }
 
 void config_agent::take_list(std::string const& json)
--- a/daemon/config_agent.hpp
+++ b/daemon/config_agent.hpp
@@ -16,8 +16,8 @@
 class config_agent
 {
 public:
-    config_agent(context& shared, packet_plane& packets, control_plane& control,
-                 peer_client& calls, boost::asio::thread_pool& background);
+    config_agent(context& shared, packet_plane& packets, control_plane& control, peer_client& calls,
+                 boost::asio::thread_pool& background);
     config_agent(config_agent const&) = delete;
     config_agent& operator=(config_agent const&) = delete;
 
--- a/daemon/context.cpp
+++ b/daemon/context.cpp
@@ -7,8 +7,7 @@
     : settings(std::move(s)), self{settings.id, run},
       table(std::make_shared<routing_table const>(empty_config(), host_list{},
                                                   settings.cluster_secret)),
-      view(std::make_shared<cluster_view const>(self, settings.zone,
-                                                std::vector<cluster_entry>{})),
+      view(std::make_shared<cluster_view const>(self, settings.zone, std::vector<cluster_entry>{})),
       ramp(std::make_shared<zone_ramp const>()), started(monotonic_now())
 {
 }
--- a/daemon/control_plane.cpp
+++ b/daemon/control_plane.cpp
@@ -22,7 +22,8 @@
     for (peer_settings const& p : shared.settings.peers)
         peers_.emplace(p.id, &p);
     metrics& m = shared.counters;
-    m.gauge("control_bytes_sent_total", "Bytes of peer datagrams sent, IP and UDP headers included.",
+    m.gauge("control_bytes_sent_total",
+            "Bytes of peer datagrams sent, IP and UDP headers included.",
             [this]
             { return static_cast<double>(socket_.sent_bytes() + header_bytes * socket_.sent()); });
     m.gauge("control_bytes_received_total",
@@ -37,8 +38,8 @@
             [this]
             {
                 auto const all = members();
-                return static_cast<double>(std::count_if(all.begin(), all.end(),
-                                                         [](member const& x) { return x.alive; }));
+                return static_cast<double>(
+                    std::count_if(all.begin(), all.end(), [](member const& x) { return x.alive; }));
             });
 }
 
@@ -47,7 +48,10 @@
     socket_.start({[this](std::string_view bytes, endpoint) { receive(bytes, monotonic_now()); }});
 }
 
-void control_plane::stop() { socket_.stop(); }
+void control_plane::stop()
+{
+    socket_.stop();
+}
 
 peer_settings const* control_plane::configured(host_id id) const
 {
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -64,9 +64,12 @@
     log::severity lowest = log::severity::info;
     log::parse_severity(settings.severity, lowest);
     log::start(lowest, settings.name);
-    invariants::on_violation([](std::string_view rule, std::string_view detail)
-                             { log::error("invariant.violated", {{"rule", std::string(rule)},
-                                                                 {"detail", std::string(detail)}}); });
+    invariants::on_violation(
+        [](std::string_view rule, std::string_view detail)
+        {
+            log::error("invariant.violated",
+                       {{"rule", std::string(rule)}, {"detail", std::string(detail)}});
+        });
     node n(std::move(settings), new_incarnation());
     n.start();
     int signal = 0;
--- a/daemon/node.cpp
+++ b/daemon/node.cpp
@@ -31,8 +31,8 @@
           shared_.settings.cluster_secret, [this] { return shared_.clock.now(unix_now_ms()); },
           [this](hybrid_time t) { shared_.clock.observe(t, unix_now_ms()); }),
       packets_(shared_), control_(shared_, packets_, calls_, background_),
-      config_(shared_, packets_, control_, calls_, background_),
-      store_(shared_, control_, config_), operations_(shared_, packets_, control_, config_, store_, calls_),
+      config_(shared_, packets_, control_, calls_, background_), store_(shared_, control_, config_),
+      operations_(shared_, packets_, control_, config_, store_, calls_),
       peers_(shared_.settings.grpc_listen, shared_.settings.cluster_secret, handlers())
 {
     admin_ = std::make_unique<http_server>(shared_.settings.admin_listen, admin_threads,
--- a/daemon/packet_plane.cpp
+++ b/daemon/packet_plane.cpp
@@ -9,9 +9,8 @@
 {
 
 constexpr std::array<std::string_view, 11> verb_names{
-    "drop",       "to_upstream",         "to_host",       "to_caller",
-    "reply",      "local_open",          "local_fallback", "local_request",
-    "local_cancel", "local_answer",      "local_close"};
+    "drop",           "to_upstream",   "to_host",      "to_caller",    "reply",      "local_open",
+    "local_fallback", "local_request", "local_cancel", "local_answer", "local_close"};
 
 } // namespace
 
@@ -32,9 +31,9 @@
 {
     metrics& m = shared_.counters;
     for (std::size_t i = 1; i < drops_.size(); ++i)
-        drops_[i] = &m.count("packets_dropped_total", "Packets dropped, by reason.",
-                             "reason=\"" + std::string(to_string(static_cast<drop_reason>(i))) +
-                                 "\"");
+        drops_[i] =
+            &m.count("packets_dropped_total", "Packets dropped, by reason.",
+                     "reason=\"" + std::string(to_string(static_cast<drop_reason>(i))) + "\"");
     for (std::size_t i = 0; i < verb_names.size(); ++i)
         verbs_[i] = &m.count("packets_total", "Packets handled, by decision.",
                              "decision=\"" + std::string(verb_names[i]) + "\"");
@@ -45,9 +44,7 @@
     m.gauge("packets_send_failures_total", "Packets that the kernel did not take.",
             [this] { return static_cast<double>(socket_.send_failures()); });
     auto const total = [&](char const* name, char const* help, auto pool_stats::*member)
-    {
-        m.gauge(name, help, [this, member] { return static_cast<double>(totals().*member); });
-    };
+    { m.gauge(name, help, [this, member] { return static_cast<double>(totals().*member); }); };
     total("flows_opened_total", "Flows issued by the pools held here.", &pool_stats::opened);
     total("flows_refused_total", "Opens refused.", &pool_stats::opens_refused);
     total("flows_open", "Open streams and uploads of the pools held here.", &pool_stats::flows);
@@ -76,14 +73,17 @@
     for (unsigned i = 0; i < shared_.settings.packet_threads; ++i)
     {
         workers_.push_back(std::make_unique<worker>(shared_));
-        handlers.emplace_back([this, w = workers_.back().get()](std::string_view bytes,
-                                                                endpoint source)
-                              { handle(*w, bytes, source); });
+        handlers.emplace_back(
+            [this, w = workers_.back().get()](std::string_view bytes, endpoint source)
+            { handle(*w, bytes, source); });
     }
     socket_.start(std::move(handlers));
 }
 
-void packet_plane::stop() { socket_.stop(); }
+void packet_plane::stop()
+{
+    socket_.stop();
+}
 
 template<class F>
 void packet_plane::with_pool(pool_id id, F&& f)
@@ -124,8 +124,7 @@
     w.view.fresh();
     w.ramp.fresh();
     std::uint64_t const key = hash_pair(decoded->caller.packed(), decoded->request.value);
-    route const r =
-        router_.decide(*decoded, source, *w.table, *w.view, *w.ramp, key, now);
+    route const r = router_.decide(*decoded, source, *w.table, *w.view, *w.ramp, key, now);
     verbs_[static_cast<std::size_t>(r.verb)]->fetch_add(1, std::memory_order_relaxed);
     execute(w, r, *decoded, source, key, now);
 }
--- a/daemon/store_agent.cpp
+++ b/daemon/store_agent.cpp
@@ -7,80 +7,193 @@
 
 namespace
 {
+
 using namespace std::chrono_literals;
-constexpr auto idle_pause = 200ms;
-constexpr duration watch_wait = 5s;
-constexpr auto list_period = 2s;
+
+// How soon a host notices that it has become a watcher.
+constexpr duration idle_pause = 200ms;
+constexpr duration list_period = 2s;
+constexpr char const* list_key = "hosts";
+
+std::variant<http_store, memory_store> make_store(host_settings const& s)
+{
+    if (s.in_process)
+        return std::variant<http_store, memory_store>(std::in_place_type<memory_store>);
+    return std::variant<http_store, memory_store>(std::in_place_type<http_store>, s.store);
+}
+
 } // namespace
 
+daemon_store::daemon_store(host_settings const& settings) : store_(make_store(settings)) {}
+
+store_value daemon_store::get(std::string const& key)
+{
+    return std::visit([&](auto& s) { return s.get(key); }, store_);
+}
+
+store_value daemon_store::compare_and_swap(std::string const& key, std::string const& value,
+                                           std::uint64_t expected)
+{
+    return std::visit([&](auto& s) { return s.compare_and_swap(key, value, expected); }, store_);
+}
+
+store_value daemon_store::watch(std::string const& key, std::uint64_t index, duration wait)
+{
+    return std::visit([&](auto& s) { return s.watch(key, index, wait); }, store_);
+}
+
+std::uint64_t daemon_store::calls() const
+{
+    return std::visit([](auto const& s) { return s.calls(); }, store_);
+}
+
 store_agent::store_agent(context& shared, control_plane& control, config_agent& config)
-    : shared_(shared), control_(control), config_(config),
-      store_(shared.settings.in_process
-                 ? std::variant<http_store, memory_store>(std::in_place_type<memory_store>)
-                 : std::variant<http_store, memory_store>(std::in_place_type<http_store>,
-                                                          shared.settings.store))
+    : shared_(shared), control_(control), config_(config), store_(shared.settings),
+      submitter_(store_, config.log(), json_store_codec(), {shared.settings.deployment}),
+      watcher_(store_, config.log(), json_store_codec(), {shared.settings.deployment}),
+      random_(std::random_device{}())
 {
+    shared.counters.gauge("store_calls_total", "Calls to the platform's store.",
+                          [this] { return static_cast<double>(store_.calls()); });
 }
 
-store_agent::~store_agent() { stop(); }
+store_agent::~store_agent()
+{
+    stop();
+}
 
 void store_agent::start()
 {
+    if (shared_.settings.in_process)
+        log::warning("store.in_process",
+                     {{"note", "the configuration is lost when this process ends"}});
     watch_thread_ = std::thread([this] { run_watch(); });
     list_thread_ = std::thread([this] { run_list(); });
 }
 
 void store_agent::stop()
 {
-    stopping_ = true;
+    {
+        std::lock_guard const lock(stop_mutex_);
+        stopping_ = true;
+    }
+    stop_signal_.notify_all();
     if (watch_thread_.joinable())
         watch_thread_.join();
     if (list_thread_.joinable())
         list_thread_.join();
 }
 
+void store_agent::sleep(duration d)
+{
+    std::unique_lock lock(stop_mutex_);
+    stop_signal_.wait_for(lock, d, [this] { return stopping_; });
+}
+
 void store_agent::run_watch()
 {
-    while (!stopping_)
+    for (;;)
     {
+        {
+            std::lock_guard const lock(stop_mutex_);
+            if (stopping_)
+                return;
+        }
         if (!control_.is_watcher())
         {
-            std::this_thread::sleep_for(idle_pause);
+            unreachable_since_ = 0;
+            sleep(idle_pause);
             continue;
         }
-        std::string const key =
-            "config/change/" + std::to_string(config_.log().rev().value + 1);
-        store_value const v =
-            std::visit([&](auto& s) { return s.watch(key, 0, watch_wait); }, store_);
-        if (v.status == store_status::done)
+        watch_result const r = watcher_.step(random_);
+        note(r);
+        if (r.pause.count() > 0)
+            sleep(r.pause);
+    }
+}
+
+void store_agent::note(watch_result const& r)
+{
+    if (r.applied > 0 || config_.log().rev() > shared_.table.get()->rev())
+        config_.publish();
+    if (r.repaired > 0)
+    {
+        shared_.record("store.repaired", "store", std::to_string(r.repaired) + " changes");
+        log::warning("store.repaired", {{"changes", std::to_string(r.repaired)}});
+    }
+    for (finding const& f : r.problems)
+        log::error("store.unusable", {{"finding", to_string(f)}});
+    if (r.reachable)
+    {
+        if (unreachable_since_.exchange(0) != 0)
         {
-            if (auto const change = decode_change(v.value);
-                change && config_.log().apply(*change).step == log_step::applied)
-                config_.publish();
-            else
-            {
-                log::error("config.unreadable", {{"key", key}});
-                std::this_thread::sleep_for(list_period);
-            }
+            shared_.record("store.reachable", "store", "");
+            log::info("store.reachable");
         }
-        else if (v.status == store_status::unreachable)
-            std::this_thread::sleep_for(idle_pause);
+    }
+    else if (unreachable_since_ == 0)
+    {
+        unreachable_since_ = monotonic_now().time_since_epoch().count();
+        shared_.record("store.unreachable", "store", "");
+        log::warning("store.unreachable");
     }
 }
 
 void store_agent::run_list()
 {
-    auto next = std::chrono::steady_clock::now();
-    while (!stopping_)
+    jitter_backoff backoff;
+    std::mt19937_64 random(std::random_device{}());
+    duration pause = idle_pause;
+    for (;;)
     {
-        std::this_thread::sleep_for(idle_pause);
-        if (std::chrono::steady_clock::now() < next || !control_.is_watcher())
+        sleep(pause);
+        {
+            std::lock_guard const lock(stop_mutex_);
+            if (stopping_)
+                return;
+        }
+        pause = idle_pause;
+        if (!control_.is_watcher())
             continue;
-        next = std::chrono::steady_clock::now() + list_period;
-        store_value const v = std::visit([](auto& s) { return s.get("hosts"); }, store_);
+        store_value const v = store_.get(list_key);
         if (v.status == store_status::done)
             config_.take_list(v.value);
+        bool const failed = v.status == store_status::unreachable;
+        if (!failed)
+            backoff.reset();
+        pause = failed ? std::max(backoff.next(random()), idle_pause) : list_period;
     }
 }
 
+submit_result store_agent::submit(proposed_change const& proposal, revision in_force_everywhere)
+{
+    submit_options options;
+    options.in_force_everywhere = in_force_everywhere;
+    options.base = proposal.base;
+    for (member const& m : control_.members())
+        options.highest_seen = std::max(options.highest_seen, m.config);
+    submit_result result = submitter_.submit(proposal.change, options);
+    config_.publish();
+    shared_.record("change.submitted", "change/" + proposal.change.change_id, result.message);
+    log::info("change.submitted", {{"change", proposal.change.change_id},
+                                   {"author", proposal.change.author},
+                                   {"result", result.message}});
+    return result;
+}
+
+submit_result store_agent::ask(std::string const& change_id)
+{
+    submit_result result = submitter_.ask(change_id);
+    config_.publish();
+    return result;
+}
+
+std::optional<time_point> store_agent::unreachable_since() const
+{
+    std::int64_t const since = unreachable_since_;
+    if (since == 0)
+        return {};
+    return time_point{duration{since}};
+}
+
 } // namespace chivelever
--- a/daemon/store_agent.hpp
+++ b/daemon/store_agent.hpp
@@ -1,17 +1,37 @@
-// Talks to the platform's store: watches the configuration and reads the host list, while this host
-// is one of its zone's watchers.
+// Talks to the platform's store: watches the configuration and reads the host list while this host
+// is one of its zone's watchers, and submits the operators' changes.
 #ifndef CHIVELEVER_DAEMON_STORE_AGENT_HPP
 #define CHIVELEVER_DAEMON_STORE_AGENT_HPP
 
 #include "daemon/config_agent.hpp"
 
 #include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <random>
 #include <thread>
 #include <variant>
 
 namespace chivelever
 {
 
+// The store that the settings name: the platform's service, or one inside the process.
+class daemon_store
+{
+public:
+    explicit daemon_store(host_settings const& settings);
+
+    store_value get(std::string const& key);
+    store_value compare_and_swap(std::string const& key, std::string const& value,
+                                 std::uint64_t expected);
+    store_value watch(std::string const& key, std::uint64_t index, duration wait);
+    std::uint64_t calls() const;
+
+private:
+    std::variant<http_store, memory_store> store_;
+};
+static_assert(platform_store<daemon_store>);
+
 class store_agent
 {
 public:
@@ -23,15 +43,29 @@
     void start();
     void stop();
 
+    // Called in the threads of the operators' endpoint.
+    submit_result submit(proposed_change const& proposal, revision in_force_everywhere);
+    submit_result ask(std::string const& change_id);
+    // Since when the store has been out of reach; nothing if it answers, or this host does not ask.
+    std::optional<time_point> unreachable_since() const;
+
 private:
     void run_watch();
     void run_list();
+    void note(watch_result const& r);
+    void sleep(duration d);
 
     context& shared_;
     control_plane& control_;
     config_agent& config_;
-    std::variant<http_store, memory_store> store_;
-    std::atomic<bool> stopping_{false};
+    daemon_store store_;
+    change_submitter<daemon_store> submitter_;
+    store_watcher<daemon_store> watcher_;
+    std::mt19937_64 random_;
+    std::atomic<std::int64_t> unreachable_since_{0}; // microseconds; 0 if reachable
+    std::mutex stop_mutex_;
+    std::condition_variable stop_signal_;
+    bool stopping_{false};
     std::thread watch_thread_;
     std::thread list_thread_;
 };
