Tell restarted granters whether the list is settled

Change: heartbeats to hosts that have just started say whether the sender has had its list for the skew time; without that a granter waits the full time.

--- a/coordination/membership.cpp
+++ b/coordination/membership.cpp
@@ -10,7 +10,7 @@
 {
 
 constexpr duration news_time = std::chrono::seconds(3);   // news is put first this long
-constexpr duration run_memory = std::chrono::seconds(10); // the previous run is told this long
+constexpr duration start_time = std::chrono::seconds(10); // after a start, told of the list's age
 constexpr std::uint64_t watch_key = 0x7761746368;         // rendezvous key of the watchers
 constexpr std::size_t watchers_per_zone = 2;
 
@@ -61,8 +61,6 @@
             m.last_progress = m.news = now;
             m.alive = !listed_once_ && l.state == host_state::live;
             m.alive_since = m.alive ? now - settings_.settle : now;
-            if (auto const r = removed_.find(id); r != removed_.end())
-                m.previous_run = r->second;
         }
         if (id == self_.host && m.who.run != self_.run)
         {
@@ -101,6 +99,7 @@
     }
     local_next_ = 0;
     list_version_ = list.version;
+    list_since_ = now;
     listed_once_ = true;
     ++version_;
 }
@@ -172,15 +171,19 @@
         add(*remote, beat, now, out);
 }
 
-// Appends one heartbeat. A host that has just started is also told of its previous run, which shows
-// it that it was listed before, or that its run is too low.
+bool membership::list_is_settled(time_point now) const
+{
+    return local_list_ == list_version_ && now - list_since_ > settings_.list_settle;
+}
+
+// Appends one heartbeat. A host that has just started is also told whether the list is settled, and
+// one that seems dead of its latest known run, which may be higher than its own after a clock step.
 void membership::add(host_id to, heartbeat beat, time_point now, outgoing_heartbeats& out)
 {
     member const* m = find(to);
     if (m != nullptr && m->who.run.value != 0)
     {
-        if (m->previous_run.value != 0 && now - m->news < run_memory)
-            beat.digest.push_back({{to, m->previous_run}, 0, host_state::live});
+        beat.list_settled = now - m->news < start_time && list_is_settled(now);
         if (!m->alive)
             beat.digest.push_back({m->who, m->counter, m->state});
     }
@@ -224,6 +227,8 @@
         return;
     }
     learn(h.sender, now);
+    if (h.list_settled)
+        settled_list_ = std::max(settled_list_, h.list_version);
     member* m = record(h.sender.who.host);
     if (m != nullptr && m->who == h.sender.who && h.sender.counter >= m->counter)
     {
@@ -250,8 +255,6 @@
     bool const new_run = e.who.run > m->who.run;
     if (new_run)
     {
-        if (m->who.run.value != 0)
-            m->previous_run = m->who.run;
         bool const first_news = m->who.run.value == 0 && m->alive; // keeps its grace at start
         m->who.run = e.who.run;
         m->counter = e.counter;
@@ -279,9 +282,7 @@
 
 void membership::learn_about_self(heartbeat_entry const& e)
 {
-    if (e.who.run < self_.run)
-        earlier_run_ = std::max(earlier_run_, e.who.run);
-    else if (e.who.run > self_.run)
+    if (e.who.run > self_.run)
         newer_run_ = std::max(newer_run_, e.who.run);
 }
 
@@ -372,11 +373,6 @@
     return result;
 }
 
-std::optional<incarnation> membership::earlier_run() const
-{
-    return earlier_run_.value != 0 ? std::optional(earlier_run_) : std::nullopt;
-}
-
 std::optional<incarnation> membership::newer_run() const
 {
     return newer_run_.value != 0 ? std::optional(newer_run_) : std::nullopt;
--- a/coordination/membership.hpp
+++ b/coordination/membership.hpp
@@ -26,6 +26,9 @@
     duration suspect_large = std::chrono::seconds(4);
     duration suspect_remote = std::chrono::seconds(30); // other zones, in a fleet with large zones
     duration settle = std::chrono::seconds(3); // alive for this long before pools move to it
+    // A list is known everywhere this long after one host has got it; equals
+    // lease_settings::new_granter_wait.
+    duration list_settle = std::chrono::milliseconds(13'200);
 };
 
 // What this host knows of one listed entry host.
@@ -39,7 +42,6 @@
     time_point last_progress; // when the counter last rose, by this host's clock
     time_point alive_since;   // start of the present stretch of being alive
     time_point news;          // latest change of run, state or liveness; news is spread first
-    incarnation previous_run; // the run before the present one
     revision config;          // latest heard from the host itself
     std::uint64_t list_version{};
     host_state listed_state{};
@@ -90,8 +92,9 @@
     // Hosts of a zone that may hold pools: live, not leaving, and alive for the settling time.
     std::vector<host_id> settled_hosts(zone_id zone, time_point now) const;
 
-    // The latest earlier run of this host that a peer remembers: it was listed before this start.
-    std::optional<incarnation> earlier_run() const;
+    // The newest list version that a peer reports to be known everywhere, for
+    // lease_granter::list_settled.
+    std::uint64_t settled_list() const { return settled_list_; }
     // A run of this host higher than its own, after a clock step; the daemon must start again with
     // a higher one, else its heartbeats are taken for old ones.
     std::optional<incarnation> newer_run() const;
@@ -100,6 +103,7 @@
     member* record(host_id id);
     void learn(heartbeat_entry const& e, time_point now);
     void learn_about_self(heartbeat_entry const& e);
+    bool list_is_settled(time_point now) const;
     void judge(time_point now);
     void set_alive(member& m, bool alive, time_point now);
     duration suspicion_time(member const& m) const;
@@ -123,6 +127,8 @@
     std::size_t largest_zone_{};
     std::uint64_t list_version_{};
     bool listed_once_{};
+    time_point list_since_;
+    std::uint64_t settled_list_{};
     std::uint64_t version_{};
     std::uint32_t counter_{};
     revision local_config_;
@@ -130,7 +136,6 @@
     host_state local_state_{};
     std::optional<time_point> next_beat_;
     time_point last_tick_;
-    incarnation earlier_run_;
     incarnation newer_run_;
 };
 
--- a/coordination/pool_lease.cpp
+++ b/coordination/pool_lease.cpp
@@ -87,7 +87,7 @@
     if (!lists_.empty() && list.version <= list_version_)
         return;
     list_version_ = list.version;
-    lists_.push_back({now, listed_entries(list)});
+    lists_.push_back({list.version, now, listed_entries(list)});
     // A list matters until its successor has been known for the waiting time.
     while (lists_.size() > 1 && now - lists_[1].learned > settings_.new_granter_wait())
     {
@@ -98,16 +98,15 @@
     sweep(now);
 }
 
-void lease_granter::known_before(incarnation earlier)
+void lease_granter::list_settled(std::uint64_t version)
 {
-    auto const seconds =
-        std::chrono::duration_cast<std::chrono::seconds>(settings_.new_granter_wait()).count() + 1;
-    bool const long_ago = earlier < self_.run && self_.run.value - earlier.value > seconds;
-    if (!known_before_ && long_ago)
-    {
-        known_before_ = true;
-        duties_.clear();
-    }
+    auto const i = std::find_if(lists_.begin(), lists_.end(),
+                                [version](known_list const& l) { return l.version == version; });
+    if (i == lists_.end() || (i == lists_.begin() && forgot_lists_))
+        return;
+    lists_.erase(lists_.begin(), i);
+    forgot_lists_ = true;
+    duties_.clear();
 }
 
 // The granter set of a pool and the time from which this host may grant it. A host with an old list
@@ -122,7 +121,7 @@
         return d;
     d.set = lists_.back().entries.granters(pool);
     d.from = start_ + settings_.memory();
-    if (!forgot_lists_ && !known_before_)
+    if (!forgot_lists_)
         d.from = start_ + settings_.new_granter_wait();
     for (std::size_t n = lists_.size(); n-- > 1;)
     {
--- a/coordination/pool_lease.hpp
+++ b/coordination/pool_lease.hpp
@@ -72,10 +72,10 @@
     lease_granter(host_instance self, time_point start, lease_settings settings = {});
 
     void update(host_list const& list, time_point now);
-    // A peer remembers an earlier run of this host. If that run started long enough before this
-    // one, the host was a granter all along and waits only until grants of that run have expired.
-    // Without such word it may have joined just now, and other hosts may not know that yet.
-    void known_before(incarnation earlier);
+    // A peer has had the list of this version for at least new_granter_wait, so no host acts by an
+    // older one. A host that restarts under such a list waits only until the grants of its earlier
+    // run have expired. Without this word its list may be new, and others may act by older ones.
+    void list_settled(std::uint64_t version);
     lease_reply on_request(lease_request const& request, time_point now);
 
     std::size_t grants() const { return grants_.size(); }
@@ -94,6 +94,7 @@
     };
     struct known_list
     {
+        std::uint64_t version;
         time_point learned;
         listed_entries entries;
     };
@@ -104,7 +105,6 @@
     host_instance self_;
     time_point start_;
     lease_settings settings_;
-    bool known_before_{};
     std::uint64_t list_version_{};
     std::vector<known_list> lists_; // the present one last, earlier ones while they matter
     bool forgot_lists_{};           // lists older than lists_.front() are no longer of interest
--- a/protocol/peer_codec.cpp
+++ b/protocol/peer_codec.cpp
@@ -50,6 +50,7 @@
     w.set_config(h.config.value);
     w.set_list_version(h.list_version);
     w.set_clock(h.clock);
+    w.set_list_settled(h.list_settled);
     for (heartbeat_entry const& e : h.digest)
         write(*w.add_digest(), e);
 }
@@ -111,7 +112,8 @@
 {
     heartbeat h{read(w.sender()), {static_cast<std::uint8_t>(w.zone())},
                 {w.config()},     w.list_version(),
-                w.clock(),        {}};
+                w.clock(),        {},
+                w.list_settled()};
     for (wire::entry const& e : w.digest())
         h.digest.push_back(read(e));
     return h;
--- a/state/messages.hpp
+++ b/state/messages.hpp
@@ -101,6 +101,9 @@
     std::uint64_t list_version{};
     std::uint64_t clock{}; // hybrid logical clock
     std::vector<heartbeat_entry> digest;
+    // The sender has had its list for so long that every host has it or a newer one. Told to hosts
+    // that have just started.
+    bool list_settled{};
     bool operator==(heartbeat const&) const = default;
 };
 
