--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -443,6 +443,15 @@
     CHECK(g.on_request(ask(b, 1, pool, set), t).results.at(0).granted);
 }
 
+// Guards against settings under which two clocks that are 5% off in opposite directions overlap.
+TEST_CASE("granters remember longer than holders hold at the largest clock drift")
+{
+    lease_settings const s;
+    CHECK((s.ttl - s.holder_margin) / 0.95 < s.memory() / 1.05);
+    CHECK((s.list_skew * 0.95 + s.ttl) / 0.95 < s.new_granter_wait() / 1.05);
+    CHECK(membership_settings{}.list_settle == s.new_granter_wait());
+}
+
 // Guards against a lease that lasts longer than its granters remember, and against replies to
 // requests from before a release.
 TEST_CASE("a lease counts from the sending of the request and needs a majority")
