Take upload packets out of order in the upstream stand-in

Spraying reorders upload packets all the time; an upstream that took them in order only made the caller resend (5,952 packets sent for 4,000 in 40 uploads).

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -286,13 +286,17 @@
             return None
 
     def stop_all(self):
-        """Stops in reverse order of start; names and codes of those that ended badly."""
-        failed = []
-        for name in reversed(list(self.running)):
-            early = self.running[name].poll()
+        """Stops daemons together, then the rest in reverse order of start, so that the daemons find
+        the store and upstreams until they end. Names and codes of those that ended badly."""
+        failed = [f"{name} (ended early)" for name, p in self.running.items() if p.poll() is not None]
+        daemons = [n for n, p in self.running.items() if p.args[0].endswith("chiveleverd")]
+        for name in daemons:
+            self.signal(name, signal.SIGCONT)
+            self.signal(name, signal.SIGTERM)
+        for name in daemons + [n for n in reversed(list(self.running)) if n not in daemons]:
             code = self.stop(name)
-            if code != 0 or early is not None:
-                failed.append(f"{name} (exit code {code}{', ended early' if early is not None else ''})")
+            if code != 0:
+                failed.append(f"{name} (exit code {code})")
         return failed
 
 
--- a/standins/common_upstream.cpp
+++ b/standins/common_upstream.cpp
@@ -16,6 +16,7 @@
 constexpr auto resend_after = milliseconds(50); // younger packets may still be on their way
 constexpr std::size_t stream_window = 64;       // packets without acknowledgement
 constexpr std::uint32_t resend_burst = 32;
+constexpr std::uint32_t upload_ahead_limit = 256; // packets kept out of order
 constexpr std::uint32_t max_stream_rate = 10'000;
 
 } // namespace
@@ -254,13 +255,19 @@
     reply(f.source, p);
 }
 
-// Takes packets in order only and acknowledges each time; the caller resends from there.
+// Keeps packets that arrive ahead of their turn, because the fabric's spraying changes the order
+// all the time, and acknowledges each packet with the next number wanted.
 void upstream::on_upload(std::string const& id, flow& f, packet_view const& p)
 {
-    if (p.sequence == f.base && !f.complete)
+    if (p.final)
+        f.last = p.sequence;
+    if (p.sequence >= f.base && p.sequence < f.base + upload_ahead_limit)
+        f.ahead.emplace(p.sequence, p.payload);
+    for (auto it = f.ahead.find(f.base); it != f.ahead.end(); it = f.ahead.find(f.base))
     {
-        f.digest = hash_bytes(p.payload, f.digest);
-        f.complete = p.final;
+        f.digest = hash_bytes(it->second, f.digest);
+        f.complete = f.last == f.base;
+        f.ahead.erase(it);
         ++f.base;
     }
     packet_view answer;
--- a/standins/common_upstream.hpp
+++ b/standins/common_upstream.hpp
@@ -80,8 +80,10 @@
         std::deque<steady::time_point> sent;
         std::uint32_t count{}; // 0: without end
         steady::duration interval{};
-        // Upload: the digest covers the packets below `base` in order.
+        // Upload: the digest covers the packets below `base` in order; those above it wait.
         std::uint64_t digest{};
+        std::map<std::uint32_t, std::string> ahead;
+        std::optional<std::uint32_t> last;
         bool complete{};
     };
 
