Tell the granter which list is settled; keep changes under the deployment's name

Cause: granters need a peer's word that the host list is old enough, and one store may serve several deployments. Change: the driver passes it on; scripts write DEPLOYMENT/config/change/1.

--- a/daemon/control_plane.cpp
+++ b/daemon/control_plane.cpp
@@ -151,8 +151,7 @@
     outgoing_heartbeats beats;
     membership_.tick(now, beats);
     send_heartbeats(beats);
-    if (auto const run = membership_.earlier_run())
-        granter_.known_before(*run);
+    granter_.list_settled(membership_.settled_list());
     if (membership_.version() != view_version_)
         publish_view();
     holder_.set_candidates(membership_.settled_hosts(shared_.settings.zone, now));
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -343,7 +343,7 @@
     wait_until(lambda: http("GET", deployment.upstream_control, "/report")[0] == 200, 5, "upstreams")
     if deployment.relay:
         wait_until(lambda: http("GET", deployment.relay_control, "/stats")[0] == 200, 5, "relay")
-    http("PUT", deployment.store, "/v1/kv/config/change/1?cas=0", json.dumps(deployment.first_change()))
+    http("PUT", deployment.store, f"/v1/kv/{deployment.name}/config/change/1?cas=0", json.dumps(deployment.first_change()))
 
 
 def start_host(processes, host):
