Index the table for the packet path and probe the holder cache

Cause: perf showed 62% of an open in hashing the hosts of a zone: with one slot for each hash, pools that share a slot evicted each other. Look-ups of zones walked the zone list. Change: the holder cache probes eight slots; the table keeps a bit set of zones that are out and open-addressing maps for all indexes. A test compares the cache with unused views.

--- a/coordination/cluster_view.cpp
+++ b/coordination/cluster_view.cpp
@@ -48,18 +48,25 @@
 {
     // The added one keeps a filled slot from being zero.
     std::uint64_t const tag = (pool.packed() + 1) << 16;
-    std::atomic<std::uint64_t>& slot =
-        holders_[std::hash<pool_id>{}(pool) >> 32 & (cache_slots - 1)];
-    std::uint64_t word = slot.load(std::memory_order_relaxed);
-    if ((word & ~std::uint64_t{absent}) != tag)
+    std::size_t const first = std::hash<pool_id>{}(pool) >> 32;
+    std::size_t free = first;
+    for (std::size_t probe = 0; probe < cache_probes; ++probe)
     {
-        cluster_entry const* const found = find_holder(pool);
-        word =
-            tag | (found == nullptr ? absent : static_cast<std::uint64_t>(found - entries_.data()));
-        slot.store(word, std::memory_order_relaxed);
+        std::uint64_t const word =
+            holders_[(first + probe) % cache_slots].load(std::memory_order_relaxed);
+        if ((word & ~std::uint64_t{absent}) == tag)
+            return (word & absent) == absent ? nullptr : &entries_[word & absent];
+        if (word == 0)
+        {
+            free = first + probe;
+            break;
+        }
     }
-    std::uint64_t const place = word & absent;
-    return place == absent ? nullptr : &entries_[place];
+    cluster_entry const* const found = find_holder(pool);
+    std::uint64_t const place =
+        found == nullptr ? absent : static_cast<std::uint64_t>(found - entries_.data());
+    holders_[free % cache_slots].store(tag | place, std::memory_order_relaxed);
+    return found;
 }
 
 cluster_entry const* cluster_view::find_holder(pool_id pool) const
--- a/coordination/cluster_view.hpp
+++ b/coordination/cluster_view.hpp
@@ -47,6 +47,7 @@
     // More than the pools of the target size; hashing 60 hosts of a zone for each open took most of
     // its time.
     static constexpr std::size_t cache_slots = 4096;
+    static constexpr std::size_t cache_probes = 8; // pools that share a slot take the next ones
 
     cluster_entry const* find_holder(pool_id pool) const;
 
--- a/state/table.cpp
+++ b/state/table.cpp
@@ -20,6 +20,8 @@
     : config_(std::move(config)), hosts_(std::move(hosts)),
       signer_(cluster_secret, config_.key_epoch)
 {
+    for (zone_config const& z : config_.zones)
+        zones_out_[z.id.value] = z.state == zone_state::out;
     for (service_config const& s : config_.services)
         services_.emplace(s.id, &s);
     for (upstream_config const& u : config_.upstreams)
@@ -74,8 +76,7 @@
 
 bool routing_table::zone_is_out(zone_id id) const
 {
-    zone_config const* const z = find(id);
-    return z != nullptr && z->state == zone_state::out;
+    return zones_out_[id.value];
 }
 
 std::span<upstream_config const* const> routing_table::pool(pool_id id) const
--- a/state/table.hpp
+++ b/state/table.hpp
@@ -8,11 +8,11 @@
 #include "state/ids.hpp"
 #include "state/messages.hpp"
 
+#include <bitset>
 #include <boost/unordered/unordered_flat_map.hpp>
 #include <memory>
 #include <span>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 namespace chivelever
@@ -50,16 +50,19 @@
     fleet_config config_;
     host_list hosts_;
     flow_signer signer_;
-    // Open addressing: two look-ups for each packet of a stream.
-    boost::unordered_flat_map<upstream_id, upstream_config const*, std::hash<upstream_id>>
-        upstreams_;
-    boost::unordered_flat_map<std::uint64_t, upstream_config const*> owners_;
-    std::unordered_map<service_id, service_config const*> services_;
-    std::unordered_map<host_id, listed_host const*> entries_;
-    std::unordered_map<upstream_id, host_state> listed_upstreams_;
-    std::unordered_map<pool_id, std::vector<upstream_config const*>> pools_;
-    std::unordered_map<service_id, std::vector<zone_id>> service_zones_;
-    std::unordered_map<zone_id, std::vector<listed_host const*>> zone_hosts_;
+    // Open addressing: several look-ups for each packet.
+    template<class Key, class Value>
+    using index = boost::unordered_flat_map<Key, Value, std::hash<Key>>;
+
+    std::bitset<256> zones_out_;
+    index<upstream_id, upstream_config const*> upstreams_;
+    index<std::uint64_t, upstream_config const*> owners_;
+    index<service_id, service_config const*> services_;
+    index<host_id, listed_host const*> entries_;
+    index<upstream_id, host_state> listed_upstreams_;
+    index<pool_id, std::vector<upstream_config const*>> pools_;
+    index<service_id, std::vector<zone_id>> service_zones_;
+    index<zone_id, std::vector<listed_host const*>> zone_hosts_;
 };
 using table_ptr = std::shared_ptr<routing_table const>;
 
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -408,3 +408,21 @@
     f.entries[holder - 1U].alive = false;
     CHECK(f.decide(3, query).reply == packet_kind::given_up);
 }
+
+// Guards against a cached holder of another pool when more pools are asked for than are cached.
+TEST_CASE("the holder cache answers as an unused view does")
+{
+    fixture const f;
+    cluster_view const used = f.view(1);
+    for (int round = 0; round < 2; ++round)
+        for (std::uint32_t s = 0; s < 5000; ++s)
+        {
+            pool_id const pool{{s}, {static_cast<std::uint8_t>(1 + s % 3)}}; // zone 3 has no hosts
+            cluster_view const unused = f.view(1);
+            cluster_entry const* const expected = unused.holder(pool);
+            cluster_entry const* const got = used.holder(pool);
+            REQUIRE((got == nullptr) == (expected == nullptr));
+            if (got != nullptr)
+                REQUIRE(got->who == expected->who);
+        }
+}
