--- a/client/config_commands.cpp
+++ b/client/config_commands.cpp
@@ -89,6 +89,19 @@
     return submit(c, fetch_config(c).rev, std::move(operations));
 }
 
+std::string child(std::string path, std::string_view name)
+{
+    path += '/';
+    return path.append(name);
+}
+
+json::value difference(char sign, std::string const& path, std::string const& value)
+{
+    std::string line{sign, ' '};
+    line.append(path).append(" = ").append(value);
+    return json::value(line);
+}
+
 // Flattens a document into paths and values; items of lists are named by name or scope, so that an
 // inserted item does not shift all others.
 void flatten(json::value const& v, std::string const& path, std::map<std::string, std::string>& out)
@@ -96,7 +109,7 @@
     if (auto const* o = v.if_object())
     {
         for (auto const& member : *o)
-            flatten(member.value(), path + "/" + std::string(member.key()), out);
+            flatten(member.value(), child(path, member.key()), out);
         return;
     }
     auto const* list = v.if_array();
@@ -114,7 +127,7 @@
                     name = std::string(n->get_string());
         if (auto const* o = (*list)[i].if_object(); o != nullptr && o->contains("scope"))
             name += " " + json::serialize(o->at("key"));
-        flatten((*list)[i], path + "/" + name, out);
+        flatten((*list)[i], child(path, name), out);
     }
 }
 
@@ -132,10 +145,10 @@
     json::array lines;
     for (auto const& [path, value] : old)
         if (auto const it = now.find(path); it == now.end() || it->second != value)
-            lines.push_back(json::value("- " + path + " = " + value));
+            lines.push_back(difference('-', path, value));
     for (auto const& [path, value] : now)
         if (auto const it = old.find(path); it == old.end() || it->second != value)
-            lines.push_back(json::value("+ " + path + " = " + value));
+            lines.push_back(difference('+', path, value));
     if (c.settings.json)
         c.io.out << json::serialize(lines) << '\n';
     else
--- a/client/run.cpp
+++ b/client/run.cpp
@@ -38,6 +38,7 @@
 {
     out << "chivelever COMMAND [ARGUMENTS] [OPTIONS]\n\n";
     std::vector<std::vector<std::string>> rows;
+    rows.reserve(commands.size());
     for (command const& c : commands)
         rows.push_back({"  " + c.name + (c.arguments.empty() ? "" : " " + c.arguments), c.help});
     print_table(out, rows);
