--- a/coordination/lease_holder.cpp
+++ b/coordination/lease_holder.cpp
@@ -85,6 +85,13 @@
     return std::max(s.carried, oldest + settings_.ttl - settings_.holder_margin);
 }
 
+// A lease is due for renewal at its age, and at once under a changed granter set.
+bool lease_holder::due(pool_state const& s, time_point now) const
+{
+    return end_of(s) == s.carried ||
+           end_of(s) - now <= settings_.ttl - settings_.holder_margin - settings_.renewal;
+}
+
 void lease_holder::forget(pool_state& s)
 {
     s.granted = {};
@@ -140,7 +147,7 @@
 {
     if (next_ && now < *next_)
         return;
-    next_ = next_ ? std::max(*next_ + settings_.renewal, now) : now + settings_.renewal;
+    next_ = next_ ? std::max(*next_ + settings_.retry, now) : now + settings_.retry;
     std::uint32_t const round = next_round(now);
     for (auto i = pools_.begin(); i != pools_.end();)
     {
@@ -164,7 +171,7 @@
         }
         if (lost)
             add(pool, s, true);
-        else if ((holds && s.known) || (wants && round >= s.rest_until))
+        else if ((holds && s.known && due(s, now)) || (wants && !holds && round >= s.rest_until))
             add(pool, s, false);
         s.refused = {};
         ++i;
@@ -176,7 +183,7 @@
 {
     auto const sent = std::find_if(sent_.begin(), sent_.end(),
                                    [&](auto const& r) { return r.first == reply.round; });
-    if (sent == sent_.end() || now - sent->second > settings_.ttl)
+    if (sent == sent_.end() || reply.holder != self_.run || now - sent->second > settings_.ttl)
         return;
     for (lease_result const& r : reply.results)
     {
@@ -189,9 +196,9 @@
         if (g == set.end())
             continue;
         auto const n = static_cast<std::size_t>(g - set.begin());
-        if (r.granted && r.current == self_)
+        if (r.granted)
             s.granted[n] = std::max(s.granted[n], sent->second);
-        else if (!r.granted && r.current != host_instance{} && r.current != self_)
+        else if (r.current != host_instance{})
             s.refused[n] = true;
     }
 }
--- a/coordination/membership.cpp
+++ b/coordination/membership.cpp
@@ -1,7 +1,7 @@
 #include "coordination/membership.hpp"
 
 #include <algorithm>
-#include <map>
+#include <tuple>
 
 namespace chivelever
 {
@@ -9,7 +9,7 @@
 namespace
 {
 
-constexpr duration news_time = std::chrono::seconds(3);   // news is put first this long
+constexpr duration news_time = std::chrono::seconds(10);  // news is put first this long
 constexpr duration start_time = std::chrono::seconds(10); // after a start, told of the list's age
 constexpr std::uint64_t watch_key = 0x7761746368;         // rendezvous key of the watchers
 constexpr std::size_t watchers_per_zone = 2;
@@ -69,6 +69,7 @@
             m.alive_since = now;
         }
         m.zone = l.zone;
+        zone_progress_.try_emplace(l.zone, now);
         m.listed_state = l.state;
         m.packet = l.packet;
         if (l.state == host_state::leaving)
@@ -134,6 +135,9 @@
     if (gap > 2 * settings_.period)
         for (member& m : members_)
             m.last_progress = std::min(now, m.last_progress + gap);
+    if (gap > 2 * settings_.period)
+        for (auto& [zone, progress] : zone_progress_)
+            progress = std::min(now, progress + gap);
     last_tick_ = now;
     judge(now);
     if (now < *next_beat_)
@@ -198,24 +202,37 @@
     return zone[random_() % zone.size()];
 }
 
-// Entries about other hosts: news first, then those whose progress is freshest.
+// Entries about other hosts: news first, then those whose progress is freshest. At most half of the
+// places go to other zones, which shows this zone that those zones are reached.
 std::vector<heartbeat_entry> membership::digest(time_point now)
 {
     std::vector<member const*> known;
+    known.reserve(members_.size());
     for (member const& m : members_)
-        if (m.who.host != self_.host && m.who.run.value != 0 && m.alive)
+        if (m.who.host != self_.host && m.who.run.value != 0 &&
+            (m.alive || now - m.news < news_time))
             known.push_back(&m);
-    std::size_t const count = std::min(settings_.digest, known.size());
-    auto const rank = [now](member const* m)
-    { return std::pair(now - m->news < news_time, m->last_progress); };
     std::shuffle(known.begin(), known.end(), random_);
-    std::partial_sort(known.begin(), known.begin() + static_cast<std::ptrdiff_t>(count),
-                      known.end(),
+    auto const rank = [&](member const* m)
+    { return std::tuple(now - m->news < news_time, m->zone == zone_, m->last_progress); };
+    std::size_t const count = std::min(settings_.digest, known.size());
+    auto const middle = known.begin() + static_cast<std::ptrdiff_t>(count);
+    std::partial_sort(known.begin(), middle, known.end(),
                       [&](member const* a, member const* b) { return rank(a) > rank(b); });
+    // Swaps the staler half for the freshest host of each other zone.
+    std::map<zone_id, member const*> freshest;
+    for (auto i = middle; i != known.end(); ++i)
+        if (member const*& best = freshest[(*i)->zone];
+            (*i)->zone != zone_ && (best == nullptr || best->last_progress < (*i)->last_progress))
+            best = *i;
+    std::size_t place = count;
+    for (auto const& [zone, m] : freshest)
+        if (m != nullptr && place > count / 2)
+            known[--place] = m;
     std::vector<heartbeat_entry> result;
-    result.reserve(count + 2);
+    result.reserve(count + 1);
     for (std::size_t i = 0; i < count; ++i)
-        result.push_back({known[i]->who, known[i]->counter, known[i]->state});
+        result.push_back({known[i]->who, known[i]->counter, known[i]->state, !known[i]->alive});
     return result;
 }
 
@@ -252,6 +269,11 @@
         return;
     if (auto const r = removed_.find(e.who.host); r != removed_.end() && e.who.run <= r->second)
         return;
+    if (e.suspected)
+    {
+        accept_suspicion(*m, e, now);
+        return;
+    }
     bool const new_run = e.who.run > m->who.run;
     if (new_run)
     {
@@ -269,6 +291,7 @@
     else if (e.state != host_state::leaving || m->state == host_state::leaving)
         return;
     m->last_progress = now;
+    zone_progress_[m->zone] = now;
     if (e.state == host_state::leaving && m->state != host_state::leaving)
     {
         m->state = host_state::leaving;
@@ -278,6 +301,16 @@
     set_alive(*m, true, now);
 }
 
+// A host of another zone is suspected by the word of its own zone, unless later progress is known.
+// About hosts of the own zone this host judges for itself.
+void membership::accept_suspicion(member& m, heartbeat_entry const& e, time_point now)
+{
+    if (m.zone == zone_ || e.who.run != m.who.run || e.counter < m.counter)
+        return;
+    m.counter = e.counter;
+    set_alive(m, false, now);
+}
+
 void membership::learn_about_self(heartbeat_entry const& e)
 {
     if (e.who.run > self_.run)
@@ -295,18 +328,32 @@
     ++version_;
 }
 
-duration membership::suspicion_time(member const& m) const
+bool membership::overdue(member const& m, time_point now) const
 {
-    if (largest_zone_ <= settings_.small_zone)
-        return m.zone == zone_ ? settings_.suspect_small : settings_.suspect_large;
-    return m.zone == zone_ ? settings_.suspect_large : settings_.suspect_remote;
+    bool const small = largest_zone_ <= settings_.small_zone;
+    if (m.zone != zone_)
+        return now - m.last_progress > settings_.suspect_remote;
+    return now - m.last_progress > (small ? settings_.suspect_small : settings_.suspect_large);
 }
 
 void membership::judge(time_point now)
 {
+    bool const small = largest_zone_ <= settings_.small_zone;
+    duration const silence = small ? settings_.zone_silence_small : settings_.zone_silence_large;
     for (member& m : members_)
-        if (m.who.host != self_.host && m.alive && now - m.last_progress > suspicion_time(m))
+    {
+        if (m.who.host == self_.host || !m.alive)
+            continue;
+        if (m.zone != zone_ && now - zone_progress_[m.zone] > silence)
+        {
+            // Not told to others: it says more about the way there than about the host.
+            time_point const news = m.news;
+            set_alive(m, false, now);
+            m.news = news;
+        }
+        else if (overdue(m, now))
             set_alive(m, false, now);
+    }
 }
 
 template<class Higher>
--- a/coordination/membership.hpp
+++ b/coordination/membership.hpp
@@ -7,6 +7,7 @@
 #include "state/state.hpp"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <random>
 #include <unordered_map>
@@ -24,7 +25,12 @@
     std::size_t small_zone = 16;                      // hosts; larger zones learn more slowly
     duration suspect_small = std::chrono::seconds(2); // without progress, in a small zone
     duration suspect_large = std::chrono::seconds(4);
-    duration suspect_remote = std::chrono::seconds(30); // other zones, in a fleet with large zones
+    // Hosts of other zones are told of by their own zone: all of them are suspected if nothing is
+    // heard of their zone, one of them if nothing is heard of it for much longer than it takes
+    // until each host has been in some digest.
+    duration zone_silence_small = std::chrono::seconds(4);
+    duration zone_silence_large = std::chrono::seconds(8);
+    duration suspect_remote = std::chrono::seconds(180);
     duration settle = std::chrono::seconds(3); // alive for this long before pools move to it
     // A list is known everywhere this long after one host has got it; equals
     // lease_settings::new_granter_wait.
@@ -106,7 +112,8 @@
     bool list_is_settled(time_point now) const;
     void judge(time_point now);
     void set_alive(member& m, bool alive, time_point now);
-    duration suspicion_time(member const& m) const;
+    bool overdue(member const& m, time_point now) const;
+    void accept_suspicion(member& m, heartbeat_entry const& e, time_point now);
     std::vector<heartbeat_entry> digest(time_point now);
     void emit(time_point now, outgoing_heartbeats& out);
     void add(host_id to, heartbeat beat, time_point now, outgoing_heartbeats& out);
@@ -125,6 +132,7 @@
     std::vector<std::vector<host_id>> remote_; // peers of each other zone
     std::size_t remote_next_{};
     std::size_t largest_zone_{};
+    std::map<zone_id, time_point> zone_progress_; // latest progress of any host
     std::uint64_t list_version_{};
     bool listed_once_{};
     time_point list_since_;
--- a/coordination/pool_lease.cpp
+++ b/coordination/pool_lease.cpp
@@ -10,10 +10,16 @@
 
 constexpr std::size_t first_sweep = 64; // grants
 
+// The rendezvous key of a pool: its zone and its group.
+std::uint64_t key_of(pool_id pool)
+{
+    return std::uint64_t{pool.zone.value} << 32 | hash_pair(pool.packed(), 0) % lease_groups;
+}
+
 // Ranks hosts for one pool; holder and first granter coincide, which saves a datagram per renewal.
 std::uint64_t score(pool_id pool, host_id host)
 {
-    return hash_pair(pool.packed(), host.value);
+    return hash_pair(key_of(pool), host.value);
 }
 
 void rank(pool_id pool, std::vector<host_id>& hosts, std::size_t count)
@@ -138,7 +144,7 @@
 
 lease_reply lease_granter::on_request(lease_request const& request, time_point now)
 {
-    lease_reply reply{self_, request.round, {}};
+    lease_reply reply{self_, request.round, {}, request.holder.run};
     reply.results.reserve(request.items.size());
     for (lease_item const& item : request.items)
         reply.results.push_back(answer(request, item, now));
@@ -153,7 +159,7 @@
     lease_result result{item.pool, false, {}};
     auto const held = grants_.find(item.pool);
     bool const taken = held != grants_.end() && now < held->second.until;
-    if (taken)
+    if (taken && held->second.holder != request.holder)
         result.current = held->second.holder;
     if (item.release)
     {
@@ -161,7 +167,6 @@
         if (taken && held->second.holder == request.holder && held->second.round < request.round)
         {
             grants_.erase(held);
-            result.current = {};
         }
         return result;
     }
@@ -177,7 +182,6 @@
                       "a granter gives a pool to two holders");
     slot = next;
     result.granted = true;
-    result.current = request.holder;
     return result;
 }
 
--- a/coordination/pool_lease.hpp
+++ b/coordination/pool_lease.hpp
@@ -24,7 +24,10 @@
     // Holders give up this much earlier: granters remember ttl + 10%, and two clocks that are 5%
     // off in opposite directions differ by 10.5%.
     duration holder_margin = std::chrono::milliseconds(20);
-    duration renewal = std::chrono::milliseconds(500);
+    // A lease is renewed at this age. The three retries that fit before its end are as many as with
+    // a renewal every 500 ms, at half the traffic.
+    duration renewal = std::chrono::milliseconds(900);
+    duration retry = std::chrono::milliseconds(300); // and the period of asking for a pool
     duration list_skew = std::chrono::seconds(10); // longest time a list takes to reach every host
 
     // How long a granter remembers a grant, from receipt.
@@ -36,6 +39,10 @@
 
 inline constexpr std::size_t max_granters = 3;
 
+// Pools of a zone are spread over this many groups, and those of one group share their granters and
+// preferred holder, so that one datagram renews them all.
+inline constexpr std::size_t lease_groups = 128;
+
 // The granters of one pool, highest rendezvous score first.
 struct granter_set
 {
@@ -158,6 +165,7 @@
     };
     void set_granters(pool_id pool, pool_state& s);
     time_point end_of(pool_state const& s) const;
+    bool due(pool_state const& s, time_point now) const;
     bool split(pool_state const& s, time_point now) const;
     void forget(pool_state& s);
     std::uint32_t next_round(time_point now);
--- a/protocol/peer_codec.cpp
+++ b/protocol/peer_codec.cpp
@@ -52,7 +52,12 @@
     w.set_clock(h.clock);
     w.set_list_settled(h.list_settled);
     for (heartbeat_entry const& e : h.digest)
-        write(*w.add_digest(), e);
+    {
+        w.add_digest_host(e.who.host.value);
+        w.add_digest_run(static_cast<std::int32_t>(e.who.run.value - h.sender.who.run.value));
+        w.add_digest_counter(std::uint64_t{e.counter} << 2 | (e.suspected ? 2U : 0U) |
+                             (e.state == host_state::leaving ? 1U : 0U));
+    }
 }
 
 void write(wire::peer_message& to, lease_request const& q)
@@ -76,6 +81,7 @@
     w.set_host(r.granter.host.value);
     w.set_run(r.granter.run.value);
     w.set_round(r.round);
+    w.set_holder_run(r.holder.value);
     for (lease_result const& i : r.results)
     {
         wire::lease_result& result = *w.add_results();
@@ -114,8 +120,17 @@
                 {w.config()},     w.list_version(),
                 w.clock(),        {},
                 w.list_settled()};
-    for (wire::entry const& e : w.digest())
-        h.digest.push_back(read(e));
+    h.digest.reserve(static_cast<std::size_t>(w.digest_host_size()));
+    for (int i = 0; i < w.digest_host_size(); ++i)
+    {
+        std::uint64_t const packed = w.digest_counter(i);
+        h.digest.push_back(
+            {{{static_cast<std::uint16_t>(w.digest_host(i))},
+              {h.sender.who.run.value + static_cast<std::uint32_t>(w.digest_run(i))}},
+             static_cast<std::uint32_t>(packed >> 2),
+             (packed & 1U) != 0 ? host_state::leaving : host_state::live,
+             (packed & 2U) != 0});
+    }
     return h;
 }
 
@@ -134,6 +149,7 @@
         r.results.push_back({pool_id::from_packed(i.pool()),
                              i.granted(),
                              {host_of(i.current_host()), {i.current_run()}}});
+    r.holder = {w.holder_run()};
     return r;
 }
 
@@ -182,7 +198,9 @@
     switch (m.body_case())
     {
     case wire::peer_message::kBeat:
-        if (m.beat().digest_size() > static_cast<int>(max_digest_entries))
+        if (m.beat().digest_host_size() > static_cast<int>(max_digest_entries) ||
+            m.beat().digest_run_size() != m.beat().digest_host_size() ||
+            m.beat().digest_counter_size() != m.beat().digest_host_size())
             return {};
         return received_peer_message{from, read(m.beat())};
     case wire::peer_message::kLeaseAsk:
--- a/state/messages.hpp
+++ b/state/messages.hpp
@@ -90,6 +90,7 @@
     host_instance who;
     std::uint32_t counter{};
     host_state state{};
+    bool suspected{}; // no progress beyond this counter, by the word of a host of its zone
     auto operator<=>(heartbeat_entry const&) const = default;
 };
 
@@ -127,7 +128,7 @@
 {
     pool_id pool;
     bool granted{};
-    host_instance current; // who has it, if refused
+    host_instance current; // who else has it, if refused
     auto operator<=>(lease_result const&) const = default;
 };
 struct lease_reply
@@ -135,6 +136,7 @@
     host_instance granter;
     std::uint32_t round{};
     std::vector<lease_result> results;
+    incarnation holder; // run of the host that asked, so that a later run takes no grant for its own
     bool operator==(lease_reply const&) const = default;
 };
 
--- a/tests/lease_test.cpp
+++ b/tests/lease_test.cpp
@@ -470,7 +470,7 @@
     auto reply = [&](int granter, std::uint32_t round)
     {
         return lease_reply{
-            {{static_cast<std::uint16_t>(granter)}, {1}}, round, {{pool, true, {me, {5}}}}};
+            {{static_cast<std::uint16_t>(granter)}, {1}}, round, {{pool, true, {}}}, {5}};
     };
     std::uint32_t const round = out[0].second.round;
     h.on_reply(reply(1, round), origin + 1s);
