--- a/bench/scale/main.cpp
+++ b/bench/scale/main.cpp
@@ -135,7 +135,8 @@
         ("restarts", po::value(&restarts)->default_value(restarts), "hosts to restart in turn")
         ("restart-interval", po::value(&interval)->default_value(interval), "seconds between them")
         ("fanout", po::value(&o.member.fanout)->default_value(o.member.fanout), "heartbeat targets")
-        ("digest", po::value(&o.member.digest)->default_value(o.member.digest), "entries")
+        ("fanout-large", po::value(&o.member.fanout_large)->default_value(o.member.fanout_large),
+         "the same in zones of over 16")
         ("period", po::value(&period_ms)->default_value(period_ms), "ms between heartbeats")
         ("renewal", po::value(&renewal_ms)->default_value(renewal_ms), "ms between renewals");
     // clang-format on
--- a/coordination/membership.cpp
+++ b/coordination/membership.cpp
@@ -1,7 +1,6 @@
 #include "coordination/membership.hpp"
 
 #include <algorithm>
-#include <tuple>
 
 namespace chivelever
 {
@@ -9,10 +8,11 @@
 namespace
 {
 
-constexpr duration news_time = std::chrono::seconds(10);  // news is put first this long
 constexpr duration start_time = std::chrono::seconds(10); // after a start, told of the list's age
 constexpr std::uint64_t watch_key = 0x7761746368;         // rendezvous key of the watchers
 constexpr std::size_t watchers_per_zone = 2;
+constexpr std::uint32_t first_beats = 6;  // of a run; its sender knows little yet
+constexpr std::uint32_t extra_beats = 16; // announcements between two heartbeats
 
 constexpr bool by_id(member const& m, host_id id)
 {
@@ -159,9 +159,16 @@
         m->counter = counter_;
         m->last_progress = now;
     }
-    heartbeat const beat{
-        {self_, counter_, local_state_}, zone_, local_config_, local_list_, 0, digest(now)};
-    std::size_t const count = std::min(settings_.fanout, local_.size());
+    heartbeat beat;
+    beat.sender = {self_, counter_, local_state_};
+    beat.zone = zone_;
+    beat.config = local_config_;
+    beat.list_version = local_list_;
+    beat.digest = news(now, settings_.news);
+    beat.progress = progress(false, settings_.progress);
+    bool const small = local_.size() < settings_.small_zone;
+    std::size_t const count =
+        std::min(small ? settings_.fanout : settings_.fanout_large, local_.size());
     for (std::size_t i = 0; i < count; ++i)
     {
         if (local_next_ >= local_.size())
@@ -172,7 +179,10 @@
         add(local_[local_next_++], beat, now, out);
     }
     if (auto const remote = next_remote())
-        add(*remote, beat, now, out);
+    {
+        beat.progress = progress(true, settings_.progress_remote);
+        add(*remote, std::move(beat), now, out);
+    }
 }
 
 bool membership::list_is_settled(time_point now) const
@@ -180,14 +190,18 @@
     return local_list_ == list_version_ && now - list_since_ > settings_.list_settle;
 }
 
-// Appends one heartbeat. A host that has just started is also told whether the list is settled, and
-// one that seems dead of its latest known run, which may be higher than its own after a clock step.
+// Appends one heartbeat. A host that has just started is also told the runs of all others, because
+// progress entries say nothing to it yet, and whether the list is settled. One that seems dead is
+// told of its latest known run, which may be higher than its own after a clock step.
 void membership::add(host_id to, heartbeat beat, time_point now, outgoing_heartbeats& out)
 {
     member const* m = find(to);
     if (m != nullptr && m->who.run.value != 0)
     {
-        beat.list_settled = now - m->news < start_time && list_is_settled(now);
+        bool const started = now - m->news < start_time;
+        beat.list_settled = started && list_is_settled(now);
+        if (started && m->counter < first_beats)
+            beat.digest = news(now, settings_.progress);
         if (!m->alive)
             beat.digest.push_back({m->who, m->counter, m->state});
     }
@@ -202,40 +216,6 @@
     return zone[random_() % zone.size()];
 }
 
-// Entries about other hosts: news first, then those whose progress is freshest. At most half of the
-// places go to other zones, which shows this zone that those zones are reached.
-std::vector<heartbeat_entry> membership::digest(time_point now)
-{
-    std::vector<member const*> known;
-    known.reserve(members_.size());
-    for (member const& m : members_)
-        if (m.who.host != self_.host && m.who.run.value != 0 &&
-            (m.alive || now - m.news < news_time))
-            known.push_back(&m);
-    std::shuffle(known.begin(), known.end(), random_);
-    auto const rank = [&](member const* m)
-    { return std::tuple(now - m->news < news_time, m->zone == zone_, m->last_progress); };
-    std::size_t const count = std::min(settings_.digest, known.size());
-    auto const middle = known.begin() + static_cast<std::ptrdiff_t>(count);
-    std::partial_sort(known.begin(), middle, known.end(),
-                      [&](member const* a, member const* b) { return rank(a) > rank(b); });
-    // Swaps the staler half for the freshest host of each other zone.
-    std::map<zone_id, member const*> freshest;
-    for (auto i = middle; i != known.end(); ++i)
-        if (member const*& best = freshest[(*i)->zone];
-            (*i)->zone != zone_ && (best == nullptr || best->last_progress < (*i)->last_progress))
-            best = *i;
-    std::size_t place = count;
-    for (auto const& [zone, m] : freshest)
-        if (m != nullptr && place > count / 2)
-            known[--place] = m;
-    std::vector<heartbeat_entry> result;
-    result.reserve(count + 1);
-    for (std::size_t i = 0; i < count; ++i)
-        result.push_back({known[i]->who, known[i]->counter, known[i]->state, !known[i]->alive});
-    return result;
-}
-
 void membership::on_heartbeat(heartbeat const& h, time_point now)
 {
     if (h.sender.who.host == self_.host)
@@ -254,6 +234,27 @@
     }
     for (heartbeat_entry const& e : h.digest)
         learn(e, now);
+    for (progress_entry const& p : h.progress)
+        learn_progress(p, now);
+}
+
+// Completes the counter from its low bits. The rise must be possible in the time since the last
+// progress, else the entry belongs to another run with the same low bits.
+void membership::learn_progress(progress_entry const& p, time_point now)
+{
+    member* m = record(p.host);
+    if (m == nullptr || m->who.host == self_.host || m->who.run.value == 0 ||
+        progress_entry::low_run(m->who.run) != p.run)
+        return;
+    std::uint32_t const rise =
+        progress_entry::low_counter(static_cast<std::uint32_t>(p.counter) - m->counter);
+    auto const possible = 2 * ((now - m->last_progress) / settings_.period) + extra_beats;
+    if (rise == 0 || rise > possible)
+        return;
+    m->counter += rise;
+    m->last_progress = now;
+    zone_progress_[m->zone] = now;
+    set_alive(*m, true, now);
 }
 
 // Takes in one entry, by the rules of order above the class.
--- a/coordination/membership.hpp
+++ b/coordination/membership.hpp
@@ -20,9 +20,12 @@
 struct membership_settings
 {
     duration period = std::chrono::milliseconds(500); // between two heartbeats of one host
-    std::size_t fanout = 6;                           // peers of the own zone per heartbeat
-    std::size_t digest = 16;                          // entries about other hosts per heartbeat
-    std::size_t small_zone = 16;                      // hosts; larger zones learn more slowly
+    std::size_t fanout = 6;           // peers of the own zone per heartbeat, in a small zone
+    std::size_t fanout_large = 3;     // in others
+    std::size_t news = 16;            // news entries per heartbeat
+    std::size_t progress = 72;        // progress entries per heartbeat within the zone
+    std::size_t progress_remote = 16; // to another zone
+    std::size_t small_zone = 16;      // hosts; larger zones learn more slowly
     duration suspect_small = std::chrono::seconds(2); // without progress, in a small zone
     duration suspect_large = std::chrono::seconds(4);
     // Hosts of other zones are told of by their own zone: all of them are suspected if nothing is
@@ -114,7 +117,9 @@
     void set_alive(member& m, bool alive, time_point now);
     bool overdue(member const& m, time_point now) const;
     void accept_suspicion(member& m, heartbeat_entry const& e, time_point now);
-    std::vector<heartbeat_entry> digest(time_point now);
+    std::vector<heartbeat_entry> news(time_point now, std::size_t count);
+    std::vector<progress_entry> progress(bool remote, std::size_t count);
+    void learn_progress(progress_entry const& p, time_point now);
     void emit(time_point now, outgoing_heartbeats& out);
     void add(host_id to, heartbeat beat, time_point now, outgoing_heartbeats& out);
     std::optional<host_id> next_remote();
--- a/protocol/peer_codec.cpp
+++ b/protocol/peer_codec.cpp
@@ -12,7 +12,8 @@
 namespace
 {
 
-constexpr std::size_t max_digest_entries = 64;
+constexpr std::size_t max_digest_entries = 80;
+constexpr std::size_t max_progress_entries = 160;
 constexpr std::size_t max_lease_items = 512;
 
 std::uint64_t sign(std::string const& key, std::string const& body)
@@ -58,6 +59,13 @@
         w.add_digest_counter(std::uint64_t{e.counter} << 2 | (e.suspected ? 2U : 0U) |
                              (e.state == host_state::leaving ? 1U : 0U));
     }
+    std::uint32_t before = 0;
+    for (progress_entry const& p : h.progress)
+    {
+        w.add_progress_host(p.host.value - before);
+        w.add_progress(std::uint32_t{p.run} << progress_entry::counter_bits | p.counter);
+        before = p.host.value;
+    }
 }
 
 void write(wire::peer_message& to, lease_request const& q)
@@ -114,6 +122,16 @@
     return {static_cast<std::uint16_t>(v)};
 }
 
+// Columns of one table must be equally long, and no longer than a datagram can hold.
+bool well_formed(wire::heartbeat const& w)
+{
+    return w.digest_host_size() <= static_cast<int>(max_digest_entries) &&
+           w.digest_run_size() == w.digest_host_size() &&
+           w.digest_counter_size() == w.digest_host_size() &&
+           w.progress_size() <= static_cast<int>(max_progress_entries) &&
+           w.progress_host_size() == w.progress_size();
+}
+
 heartbeat read(wire::heartbeat const& w)
 {
     heartbeat h{read(w.sender()), {static_cast<std::uint8_t>(w.zone())},
@@ -131,6 +149,18 @@
              (packed & 1U) != 0 ? host_state::leaving : host_state::live,
              (packed & 2U) != 0});
     }
+    h.progress.reserve(static_cast<std::size_t>(w.progress_size()));
+    std::uint32_t host = 0;
+    for (int i = 0; i < w.progress_size(); ++i)
+    {
+        host += w.progress_host(i);
+        constexpr std::uint32_t counter_mask = (1U << progress_entry::counter_bits) - 1;
+        constexpr std::uint32_t run_mask = (1U << progress_entry::run_bits) - 1;
+        h.progress.push_back(
+            {host_of(host),
+             static_cast<std::uint8_t>(w.progress(i) >> progress_entry::counter_bits & run_mask),
+             static_cast<std::uint16_t>(w.progress(i) & counter_mask)});
+    }
     return h;
 }
 
@@ -198,9 +228,7 @@
     switch (m.body_case())
     {
     case wire::peer_message::kBeat:
-        if (m.beat().digest_host_size() > static_cast<int>(max_digest_entries) ||
-            m.beat().digest_run_size() != m.beat().digest_host_size() ||
-            m.beat().digest_counter_size() != m.beat().digest_host_size())
+        if (!well_formed(m.beat()))
             return {};
         return received_peer_message{from, read(m.beat())};
     case wire::peer_message::kLeaseAsk:
--- a/state/messages.hpp
+++ b/state/messages.hpp
@@ -94,17 +94,38 @@
     auto operator<=>(heartbeat_entry const&) const = default;
 };
 
+// Progress of a host whose run the receiver knows, in the few bits that tell it from the counter
+// that the receiver has. A zone of 60 hosts fits into one datagram.
+struct progress_entry
+{
+    static constexpr std::uint32_t run_bits = 7;
+    static constexpr std::uint32_t counter_bits = 12;
+    host_id host;
+    std::uint8_t run{};      // low bits
+    std::uint16_t counter{}; // low bits
+    static constexpr std::uint8_t low_run(incarnation run)
+    {
+        return static_cast<std::uint8_t>(run.value & ((1U << run_bits) - 1));
+    }
+    static constexpr std::uint16_t low_counter(std::uint32_t counter)
+    {
+        return static_cast<std::uint16_t>(counter & ((1U << counter_bits) - 1));
+    }
+    auto operator<=>(progress_entry const&) const = default;
+};
+
 struct heartbeat
 {
     heartbeat_entry sender;
     zone_id zone;
     revision config;
     std::uint64_t list_version{};
-    std::uint64_t clock{}; // hybrid logical clock
-    std::vector<heartbeat_entry> digest;
+    std::uint64_t clock{};               // hybrid logical clock
+    std::vector<heartbeat_entry> digest; // news, or all that is known for a host just started
     // The sender has had its list for so long that every host has it or a newer one. Told to hosts
     // that have just started.
     bool list_settled{};
+    std::vector<progress_entry> progress; // in order of host id
     bool operator==(heartbeat const&) const = default;
 };
 
@@ -136,7 +157,8 @@
     host_instance granter;
     std::uint32_t round{};
     std::vector<lease_result> results;
-    incarnation holder; // run of the host that asked, so that a later run takes no grant for its own
+    incarnation
+        holder; // run of the host that asked, so that a later run takes no grant for its own
     bool operator==(lease_reply const&) const = default;
 };
 
