--- a/bench/scale/main.cpp
+++ b/bench/scale/main.cpp
@@ -130,6 +130,7 @@
         ("zones", po::value<std::size_t>(), "zones")
         ("pools", po::value<std::size_t>(), "pools of the fleet; default 5.24 per host")
         ("seed", po::value(&o.seed)->default_value(o.seed), "seed")
+        ("loss", po::value(&o.loss)->default_value(o.loss), "share of datagrams lost")
         ("steady", po::value(&steady)->default_value(steady), "seconds of steady state")
         ("changes", po::value(&changes)->default_value(changes), "configuration changes")
         ("restarts", po::value(&restarts)->default_value(restarts), "hosts to restart in turn")
@@ -137,6 +138,7 @@
         ("fanout", po::value(&o.member.fanout)->default_value(o.member.fanout), "heartbeat targets")
         ("fanout-large", po::value(&o.member.fanout_large)->default_value(o.member.fanout_large),
          "the same in zones of over 16")
+        ("progress", po::value(&o.member.progress)->default_value(o.member.progress), "entries")
         ("period", po::value(&period_ms)->default_value(period_ms), "ms between heartbeats")
         ("renewal", po::value(&renewal_ms)->default_value(renewal_ms), "ms between renewals");
     // clang-format on
--- a/coordination/membership.cpp
+++ b/coordination/membership.cpp
@@ -12,6 +12,7 @@
 constexpr std::uint64_t watch_key = 0x7761746368;         // rendezvous key of the watchers
 constexpr std::size_t watchers_per_zone = 2;
 constexpr std::uint32_t first_beats = 6;  // of a run; its sender knows little yet
+constexpr std::size_t first_digest = 72;  // entries for a host just started
 constexpr std::uint32_t extra_beats = 16; // announcements between two heartbeats
 
 constexpr bool by_id(member const& m, host_id id)
@@ -201,7 +202,7 @@
         bool const started = now - m->news < start_time;
         beat.list_settled = started && list_is_settled(now);
         if (started && m->counter < first_beats)
-            beat.digest = news(now, settings_.progress);
+            beat.digest = news(now, first_digest);
         if (!m->alive)
             beat.digest.push_back({m->who, m->counter, m->state});
     }
--- a/coordination/membership.hpp
+++ b/coordination/membership.hpp
@@ -23,7 +23,7 @@
     std::size_t fanout = 6;           // peers of the own zone per heartbeat, in a small zone
     std::size_t fanout_large = 3;     // in others
     std::size_t news = 16;            // news entries per heartbeat
-    std::size_t progress = 72;        // progress entries per heartbeat within the zone
+    std::size_t progress = 36;        // progress entries per heartbeat within the zone
     std::size_t progress_remote = 16; // to another zone
     std::size_t small_zone = 16;      // hosts; larger zones learn more slowly
     duration suspect_small = std::chrono::seconds(2); // without progress, in a small zone
--- a/coordination/pool_lease.hpp
+++ b/coordination/pool_lease.hpp
@@ -41,7 +41,7 @@
 
 // Pools of a zone are spread over this many groups, and those of one group share their granters and
 // preferred holder, so that one datagram renews them all.
-inline constexpr std::size_t lease_groups = 128;
+inline constexpr std::size_t lease_groups = 256;
 
 // The granters of one pool, highest rendezvous score first.
 struct granter_set
