--- a/coordination/membership.cpp
+++ b/coordination/membership.cpp
@@ -1,7 +1,6 @@
 #include "coordination/membership.hpp"
 
 #include <algorithm>
-#include <map>
 
 namespace chivelever
 {
@@ -9,10 +8,12 @@
 namespace
 {
 
-constexpr duration news_time = std::chrono::seconds(3);   // news is put first this long
 constexpr duration start_time = std::chrono::seconds(10); // after a start, told of the list's age
 constexpr std::uint64_t watch_key = 0x7761746368;         // rendezvous key of the watchers
 constexpr std::size_t watchers_per_zone = 2;
+constexpr std::uint32_t first_beats = 6;  // of a run; its sender knows little yet
+constexpr std::size_t first_digest = 72;  // entries for a host just started
+constexpr std::uint32_t extra_beats = 16; // announcements between two heartbeats
 
 constexpr bool by_id(member const& m, host_id id)
 {
@@ -69,6 +70,7 @@
             m.alive_since = now;
         }
         m.zone = l.zone;
+        zone_progress_.try_emplace(l.zone, now);
         m.listed_state = l.state;
         m.packet = l.packet;
         if (l.state == host_state::leaving)
@@ -134,6 +136,9 @@
     if (gap > 2 * settings_.period)
         for (member& m : members_)
             m.last_progress = std::min(now, m.last_progress + gap);
+    if (gap > 2 * settings_.period)
+        for (auto& [zone, progress] : zone_progress_)
+            progress = std::min(now, progress + gap);
     last_tick_ = now;
     judge(now);
     if (now < *next_beat_)
@@ -155,9 +160,16 @@
         m->counter = counter_;
         m->last_progress = now;
     }
-    heartbeat const beat{
-        {self_, counter_, local_state_}, zone_, local_config_, local_list_, 0, digest(now)};
-    std::size_t const count = std::min(settings_.fanout, local_.size());
+    heartbeat beat;
+    beat.sender = {self_, counter_, local_state_};
+    beat.zone = zone_;
+    beat.config = local_config_;
+    beat.list_version = local_list_;
+    beat.digest = news(now, settings_.news);
+    beat.progress = progress(false, settings_.progress);
+    bool const small = local_.size() < settings_.small_zone;
+    std::size_t const count =
+        std::min(small ? settings_.fanout : settings_.fanout_large, local_.size());
     for (std::size_t i = 0; i < count; ++i)
     {
         if (local_next_ >= local_.size())
@@ -168,7 +180,10 @@
         add(local_[local_next_++], beat, now, out);
     }
     if (auto const remote = next_remote())
-        add(*remote, beat, now, out);
+    {
+        beat.progress = progress(true, settings_.progress_remote);
+        add(*remote, std::move(beat), now, out);
+    }
 }
 
 bool membership::list_is_settled(time_point now) const
@@ -176,14 +191,18 @@
     return local_list_ == list_version_ && now - list_since_ > settings_.list_settle;
 }
 
-// Appends one heartbeat. A host that has just started is also told whether the list is settled, and
-// one that seems dead of its latest known run, which may be higher than its own after a clock step.
+// Appends one heartbeat. A host that has just started is also told the runs of all others, because
+// progress entries say nothing to it yet, and whether the list is settled. One that seems dead is
+// told of its latest known run, which may be higher than its own after a clock step.
 void membership::add(host_id to, heartbeat beat, time_point now, outgoing_heartbeats& out)
 {
     member const* m = find(to);
     if (m != nullptr && m->who.run.value != 0)
     {
-        beat.list_settled = now - m->news < start_time && list_is_settled(now);
+        bool const started = now - m->news < start_time;
+        beat.list_settled = started && list_is_settled(now);
+        if (started && m->counter < first_beats)
+            beat.digest = news(now, first_digest);
         if (!m->alive)
             beat.digest.push_back({m->who, m->counter, m->state});
     }
@@ -198,27 +217,6 @@
     return zone[random_() % zone.size()];
 }
 
-// Entries about other hosts: news first, then those whose progress is freshest.
-std::vector<heartbeat_entry> membership::digest(time_point now)
-{
-    std::vector<member const*> known;
-    for (member const& m : members_)
-        if (m.who.host != self_.host && m.who.run.value != 0 && m.alive)
-            known.push_back(&m);
-    std::size_t const count = std::min(settings_.digest, known.size());
-    auto const rank = [now](member const* m)
-    { return std::pair(now - m->news < news_time, m->last_progress); };
-    std::shuffle(known.begin(), known.end(), random_);
-    std::partial_sort(known.begin(), known.begin() + static_cast<std::ptrdiff_t>(count),
-                      known.end(),
-                      [&](member const* a, member const* b) { return rank(a) > rank(b); });
-    std::vector<heartbeat_entry> result;
-    result.reserve(count + 2);
-    for (std::size_t i = 0; i < count; ++i)
-        result.push_back({known[i]->who, known[i]->counter, known[i]->state});
-    return result;
-}
-
 void membership::on_heartbeat(heartbeat const& h, time_point now)
 {
     if (h.sender.who.host == self_.host)
@@ -237,6 +235,27 @@
     }
     for (heartbeat_entry const& e : h.digest)
         learn(e, now);
+    for (progress_entry const& p : h.progress)
+        learn_progress(p, now);
+}
+
+// Completes the counter from its low bits. The rise must be possible in the time since the last
+// progress, else the entry belongs to another run with the same low bits.
+void membership::learn_progress(progress_entry const& p, time_point now)
+{
+    member* m = record(p.host);
+    if (m == nullptr || m->who.host == self_.host || m->who.run.value == 0 ||
+        progress_entry::low_run(m->who.run) != p.run)
+        return;
+    std::uint32_t const rise =
+        progress_entry::low_counter(static_cast<std::uint32_t>(p.counter) - m->counter);
+    auto const possible = 2 * ((now - m->last_progress) / settings_.period) + extra_beats;
+    if (rise == 0 || rise > possible)
+        return;
+    m->counter += rise;
+    m->last_progress = now;
+    zone_progress_[m->zone] = now;
+    set_alive(*m, true, now);
 }
 
 // Takes in one entry, by the rules of order above the class.
@@ -252,6 +271,11 @@
         return;
     if (auto const r = removed_.find(e.who.host); r != removed_.end() && e.who.run <= r->second)
         return;
+    if (e.suspected)
+    {
+        accept_suspicion(*m, e, now);
+        return;
+    }
     bool const new_run = e.who.run > m->who.run;
     if (new_run)
     {
@@ -266,11 +290,10 @@
     }
     else if (e.counter > m->counter)
         m->counter = e.counter;
-    else if (e.state != host_state::leaving)
-        return;
-    else if (e.counter < m->counter && m->state == host_state::leaving)
+    else if (e.state != host_state::leaving || m->state == host_state::leaving)
         return;
     m->last_progress = now;
+    zone_progress_[m->zone] = now;
     if (e.state == host_state::leaving && m->state != host_state::leaving)
     {
         m->state = host_state::leaving;
@@ -280,6 +303,16 @@
     set_alive(*m, true, now);
 }
 
+// A host of another zone is suspected by the word of its own zone, unless later progress is known.
+// About hosts of the own zone this host judges for itself.
+void membership::accept_suspicion(member& m, heartbeat_entry const& e, time_point now)
+{
+    if (m.zone == zone_ || e.who.run != m.who.run || e.counter < m.counter)
+        return;
+    m.counter = e.counter;
+    set_alive(m, false, now);
+}
+
 void membership::learn_about_self(heartbeat_entry const& e)
 {
     if (e.who.run > self_.run)
@@ -297,18 +330,32 @@
     ++version_;
 }
 
-duration membership::suspicion_time(member const& m) const
+bool membership::overdue(member const& m, time_point now) const
 {
-    if (largest_zone_ <= settings_.small_zone)
-        return m.zone == zone_ ? settings_.suspect_small : settings_.suspect_large;
-    return m.zone == zone_ ? settings_.suspect_large : settings_.suspect_remote;
+    bool const small = largest_zone_ <= settings_.small_zone;
+    if (m.zone != zone_)
+        return now - m.last_progress > settings_.suspect_remote;
+    return now - m.last_progress > (small ? settings_.suspect_small : settings_.suspect_large);
 }
 
 void membership::judge(time_point now)
 {
+    bool const small = largest_zone_ <= settings_.small_zone;
+    duration const silence = small ? settings_.zone_silence_small : settings_.zone_silence_large;
     for (member& m : members_)
-        if (m.who.host != self_.host && m.alive && now - m.last_progress > suspicion_time(m))
+    {
+        if (m.who.host == self_.host || !m.alive)
+            continue;
+        if (m.zone != zone_ && now - zone_progress_[m.zone] > silence)
+        {
+            // Not told to others: it says more about the way there than about the host.
+            time_point const news = m.news;
             set_alive(m, false, now);
+            m.news = news;
+        }
+        else if (overdue(m, now))
+            set_alive(m, false, now);
+    }
 }
 
 template<class Higher>
@@ -352,6 +399,7 @@
     std::sort(ranked.rbegin(), ranked.rend());
     ranked.resize(std::min(ranked.size(), watchers_per_zone));
     std::vector<host_id> result;
+    result.reserve(ranked.size());
     for (auto const& [score, id] : ranked)
         result.push_back(id);
     return result;
--- a/coordination/membership.hpp
+++ b/coordination/membership.hpp
@@ -7,6 +7,7 @@
 #include "state/state.hpp"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <random>
 #include <unordered_map>
@@ -19,12 +20,20 @@
 struct membership_settings
 {
     duration period = std::chrono::milliseconds(500); // between two heartbeats of one host
-    std::size_t fanout = 6;                           // peers of the own zone per heartbeat
-    std::size_t digest = 16;                          // entries about other hosts per heartbeat
-    std::size_t small_zone = 16;                      // hosts; larger zones learn more slowly
+    std::size_t fanout = 6;           // peers of the own zone per heartbeat, in a small zone
+    std::size_t fanout_large = 3;     // in others
+    std::size_t news = 16;            // news entries per heartbeat
+    std::size_t progress = 36;        // progress entries per heartbeat within the zone
+    std::size_t progress_remote = 16; // to another zone
+    std::size_t small_zone = 16;      // hosts; larger zones learn more slowly
     duration suspect_small = std::chrono::seconds(2); // without progress, in a small zone
     duration suspect_large = std::chrono::seconds(4);
-    duration suspect_remote = std::chrono::seconds(30); // other zones, in a fleet with large zones
+    // Hosts of other zones are told of by their own zone: all of them are suspected if nothing is
+    // heard of their zone, one of them if nothing is heard of it for much longer than it takes
+    // until each host has been in some digest.
+    duration zone_silence_small = std::chrono::seconds(4);
+    duration zone_silence_large = std::chrono::seconds(8);
+    duration suspect_remote = std::chrono::seconds(180);
     duration settle = std::chrono::seconds(3); // alive for this long before pools move to it
     // A list is known everywhere this long after one host has got it; equals
     // lease_settings::new_granter_wait.
@@ -106,8 +115,11 @@
     bool list_is_settled(time_point now) const;
     void judge(time_point now);
     void set_alive(member& m, bool alive, time_point now);
-    duration suspicion_time(member const& m) const;
-    std::vector<heartbeat_entry> digest(time_point now);
+    bool overdue(member const& m, time_point now) const;
+    void accept_suspicion(member& m, heartbeat_entry const& e, time_point now);
+    std::vector<heartbeat_entry> news(time_point now, std::size_t count);
+    std::vector<progress_entry> progress(bool remote, std::size_t count);
+    void learn_progress(progress_entry const& p, time_point now);
     void emit(time_point now, outgoing_heartbeats& out);
     void add(host_id to, heartbeat beat, time_point now, outgoing_heartbeats& out);
     std::optional<host_id> next_remote();
@@ -125,6 +137,7 @@
     std::vector<std::vector<host_id>> remote_; // peers of each other zone
     std::size_t remote_next_{};
     std::size_t largest_zone_{};
+    std::map<zone_id, time_point> zone_progress_; // latest progress of any host
     std::uint64_t list_version_{};
     bool listed_once_{};
     time_point list_since_;
--- a/protocol/peer_codec.cpp
+++ b/protocol/peer_codec.cpp
@@ -12,7 +12,8 @@
 namespace
 {
 
-constexpr std::size_t max_digest_entries = 64;
+constexpr std::size_t max_digest_entries = 80;
+constexpr std::size_t max_progress_entries = 160;
 constexpr std::size_t max_lease_items = 512;
 
 std::uint64_t sign(std::string const& key, std::string const& body)
@@ -52,7 +53,19 @@
     w.set_clock(h.clock);
     w.set_list_settled(h.list_settled);
     for (heartbeat_entry const& e : h.digest)
-        write(*w.add_digest(), e);
+    {
+        w.add_digest_host(e.who.host.value);
+        w.add_digest_run(static_cast<std::int32_t>(e.who.run.value - h.sender.who.run.value));
+        w.add_digest_counter(std::uint64_t{e.counter} << 2 | (e.suspected ? 2U : 0U) |
+                             (e.state == host_state::leaving ? 1U : 0U));
+    }
+    std::uint32_t before = 0;
+    for (progress_entry const& p : h.progress)
+    {
+        w.add_progress_host(p.host.value - before);
+        w.add_progress(std::uint32_t{p.run} << progress_entry::counter_bits | p.counter);
+        before = p.host.value;
+    }
 }
 
 void write(wire::peer_message& to, lease_request const& q)
@@ -76,6 +89,7 @@
     w.set_host(r.granter.host.value);
     w.set_run(r.granter.run.value);
     w.set_round(r.round);
+    w.set_holder_run(r.holder.value);
     for (lease_result const& i : r.results)
     {
         wire::lease_result& result = *w.add_results();
@@ -108,14 +122,45 @@
     return {static_cast<std::uint16_t>(v)};
 }
 
+// Columns of one table must be equally long, and no longer than a datagram can hold.
+bool well_formed(wire::heartbeat const& w)
+{
+    return w.digest_host_size() <= static_cast<int>(max_digest_entries) &&
+           w.digest_run_size() == w.digest_host_size() &&
+           w.digest_counter_size() == w.digest_host_size() &&
+           w.progress_size() <= static_cast<int>(max_progress_entries) &&
+           w.progress_host_size() == w.progress_size();
+}
+
 heartbeat read(wire::heartbeat const& w)
 {
     heartbeat h{read(w.sender()), {static_cast<std::uint8_t>(w.zone())},
                 {w.config()},     w.list_version(),
                 w.clock(),        {},
                 w.list_settled()};
-    for (wire::entry const& e : w.digest())
-        h.digest.push_back(read(e));
+    h.digest.reserve(static_cast<std::size_t>(w.digest_host_size()));
+    for (int i = 0; i < w.digest_host_size(); ++i)
+    {
+        std::uint64_t const packed = w.digest_counter(i);
+        h.digest.push_back(
+            {{{static_cast<std::uint16_t>(w.digest_host(i))},
+              {h.sender.who.run.value + static_cast<std::uint32_t>(w.digest_run(i))}},
+             static_cast<std::uint32_t>(packed >> 2),
+             (packed & 1U) != 0 ? host_state::leaving : host_state::live,
+             (packed & 2U) != 0});
+    }
+    h.progress.reserve(static_cast<std::size_t>(w.progress_size()));
+    std::uint32_t host = 0;
+    for (int i = 0; i < w.progress_size(); ++i)
+    {
+        host += w.progress_host(i);
+        constexpr std::uint32_t counter_mask = (1U << progress_entry::counter_bits) - 1;
+        constexpr std::uint32_t run_mask = (1U << progress_entry::run_bits) - 1;
+        h.progress.push_back(
+            {host_of(host),
+             static_cast<std::uint8_t>(w.progress(i) >> progress_entry::counter_bits & run_mask),
+             static_cast<std::uint16_t>(w.progress(i) & counter_mask)});
+    }
     return h;
 }
 
@@ -134,6 +179,7 @@
         r.results.push_back({pool_id::from_packed(i.pool()),
                              i.granted(),
                              {host_of(i.current_host()), {i.current_run()}}});
+    r.holder = {w.holder_run()};
     return r;
 }
 
@@ -182,7 +228,7 @@
     switch (m.body_case())
     {
     case wire::peer_message::kBeat:
-        if (m.beat().digest_size() > static_cast<int>(max_digest_entries))
+        if (!well_formed(m.beat()))
             return {};
         return received_peer_message{from, read(m.beat())};
     case wire::peer_message::kLeaseAsk:
