--- a/standins/fabric.cpp
+++ b/standins/fabric.cpp
@@ -85,6 +85,23 @@
             io, address, [this](endpoint from, std::string_view bytes) { handle(from, bytes); });
     }
 
+    // {"loss": SHARE, "double": SHARE, "reorder": SHARE}; what is not named stays.
+    http_reply control(json::object const& command)
+    {
+        for (auto const& [name, value] : command)
+        {
+            double* const share = name == "loss"      ? &faults_.loss
+                                  : name == "double"  ? &faults_.doubled
+                                  : name == "reorder" ? &faults_.reorder
+                                                      : nullptr;
+            double const wanted = value.is_number() ? value.to_number<double>() : -1;
+            if (share == nullptr || wanted < 0 || wanted > 1)
+                return {400, "{\"error\":\"unknown fault or not a share from 0 to 1\"}"};
+            *share = wanted;
+        }
+        return {200, json::serialize(report())};
+    }
+
     json::object report() const
     {
         json::object spread;
@@ -174,7 +191,7 @@
     options::options_description described("Network fabric stand-in");
     auto const share = [] { return options::value<double>()->default_value(0); };
     described.add_options()("listen", options::value<std::string>()->required(), "ip:port (UDP)")(
-        "control", options::value<std::string>(), "ip:port (HTTP): GET /report")(
+        "control", options::value<std::string>(), "ip:port (HTTP): POST /control, GET /report")(
         "balancer", options::value<std::vector<std::string>>()->required(),
         "PACKET_IP:PORT,ADMIN_IP:PORT; repeatable. Without an admin address it is always live")(
         "loss", share(), "share of packets lost")("double", share(), "share of packets doubled")(
