--- a/coordination/coordination.hpp
+++ b/coordination/coordination.hpp
@@ -3,6 +3,7 @@
 #define CHIVELEVER_COORDINATION_COORDINATION_HPP
 
 // IWYU pragma: begin_exports
+#include "coordination/change_submitter.hpp"
 #include "coordination/cluster_view.hpp"
 #include "coordination/concepts.hpp"
 #include "coordination/config_log.hpp"
@@ -13,6 +14,8 @@
 #include "coordination/pool_lease.hpp"
 #include "coordination/retry_budget.hpp"
 #include "coordination/router.hpp"
+#include "coordination/store_sync.hpp"
+#include "coordination/store_watcher.hpp"
 #include "coordination/upstream_limit.hpp"
 // IWYU pragma: end_exports
 
