--- /dev/null
+++ b/soak/host.hpp
@@ -0,0 +1,122 @@
+// One entry host: drives the product's decisions as the daemon does, over the fakes.
+#ifndef CHIVELEVER_SOAK_HOST_HPP
+#define CHIVELEVER_SOAK_HOST_HPP
+
+#include "network.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <unordered_map>
+
+namespace chivelever::soak
+{
+
+class world;
+
+class host : public std::enable_shared_from_this<host>
+{
+public:
+    // ppm: rate of the host's clock against global time. `settings` is the list in its settings.
+    host(world& w, host_instance self, zone_id zone, std::int64_t ppm, host_list settings);
+    void start();
+
+    void receive(packet const& p, endpoint source);
+    // Runs a control message's handler, or keeps it while the process is frozen.
+    void run_when_awake(std::function<void()> f);
+    void on_heartbeat(heartbeat const& h);
+    void on_lease_request(host_id from, lease_request const& r);
+    void on_lease_reply(lease_reply const& r);
+
+    void freeze() { frozen = true; }
+    void thaw();
+    void kill();
+    void leave(); // SIGTERM
+    submit_result submit(config_change change, revision in_force_everywhere);
+    std::optional<config_change> next_for(revision since) const { return log_.change_at(since); }
+
+    bool running() const { return !dead && !frozen; }
+    // The fabric hands packets to ready hosts only.
+    bool ready() const { return running() && !leaving && table_->rev().value > 0 && !zone_is_out(); }
+    bool zone_is_out() const { return table_->zone_is_out(zone); }
+    routing_table const& table() const { return *table_; }
+    config_log const& log() const { return log_; }
+    // Since when this process has run without a break; the largest time if it does not run.
+    sim_time undisturbed_since() const
+    {
+        return running() ? since_ : std::numeric_limits<sim_time>::max();
+    }
+    // When the revision, or host list, was first in force here; the largest time if never.
+    sim_time reached(revision r) const { return first_at(reached_, r.value); }
+    sim_time reached_list(std::uint64_t v) const { return first_at(reached_list_, v); }
+
+    host_instance const self;
+    zone_id const zone;
+    endpoint const address;
+    bool dead{};
+    bool frozen{};
+    bool leaving{};
+
+private:
+    static sim_time first_at(std::map<std::uint64_t, sim_time> const& m, std::uint64_t key)
+    {
+        auto const i = m.lower_bound(key);
+        return i == m.end() ? std::numeric_limits<sim_time>::max() : i->second;
+    }
+    time_point local() const;
+    sim_time global(time_point t) const;
+    pool& pool_of(pool_id id);
+    void every(sim_time period, void (host::*f)());
+    void execute(route const& r, packet& p, std::uint64_t key);
+    void open_without_holder(packet_view const& p, route const& r);
+    void forward(packet_view const& p, endpoint to);
+    void send_all();
+    void pool_tick();
+    void control_tick();
+    void send(outgoing_heartbeats const& beats);
+    void send(outgoing_leases const& requests);
+    void publish();
+    void publish_view();
+    void update_leases();
+    void hand_over(pool_id pool, host_id to);
+    void end_handover(pool_id pool, bool accepted);
+    void pull();
+    void take_list(host_list const& list);
+    void read_list();
+    void watch_store();
+    void poll_drain(sim_time until);
+
+    world& w_;
+    std::int64_t ppm_;
+    sim_time offset_;
+    sim_time since_;
+    std::vector<std::function<void()>> inbox_; // while frozen
+    std::map<std::uint64_t, sim_time> reached_;
+    std::map<std::uint64_t, sim_time> reached_list_;
+
+    config_log log_;
+    change_submitter<fake_store> submitter_;
+    store_watcher<fake_store> watcher_;
+    host_list list_;
+    table_ptr table_;
+    view_ptr view_;
+    zone_ramp ramp_;
+    router router_;
+    flow_issuer issuer_;
+    membership membership_;
+    lease_granter granter_;
+    lease_holder holder_;
+    std::uint64_t view_version_{};
+    std::map<pool_id, std::unique_ptr<pool>> pools_;
+    std::set<pool_id> leased_;
+    std::set<pool_id> handing_over_;
+    bool pulling_{};
+    bool shutting_down_{};
+    endpoint source_; // of the packet being handled
+    std::vector<send_packet> out_;
+};
+
+} // namespace chivelever::soak
+
+#endif
