Never answer not_run to a request that another host may run

Cause: an idempotent request of an executor that was taken for lost ran on the pool's holder.

Change: no other host runs requests of a flow whose executor is gone; idempotent ones get given_up, after which callers repeat them in another flow. A pool that is handed a request of another executor says outcome_unknown instead of not_run.

--- a/coordination/pool.hpp
+++ b/coordination/pool.hpp
@@ -123,7 +123,9 @@
         bool idempotent{};
         bool cancel{};
         bool attempted{};
-        std::uint32_t unshed{}; // attempts sent that were not explicitly refused
+        // Attempts sent that were not explicitly refused; one more if another executor may have
+        // sent any before it died.
+        std::uint32_t unshed{};
         duration offered{};     // time to the deadline at arrival
         std::string payload;
     };
--- a/coordination/pool_requests.cpp
+++ b/coordination/pool_requests.cpp
@@ -107,11 +107,15 @@
     }
     if (refused)
     {
-        ++stats_.not_run;
+        // The dead executor may have run it, so that nobody can say "not run".
+        if (foreign)
+            refused = packet_status::outcome_unknown;
+        ++(foreign ? stats_.outcome_unknown : stats_.not_run);
         ledger_.refuse(key, expires, p.request, *refused);
         return reply(p, *refused, {}, out);
     }
     entry->slot = store(p, key, now);
+    requests_[entry->slot].unshed = foreign ? 1 : 0;
     queue_.push_back(entry->slot);
     dispatch(now, out);
     refuse_overflow(out);
--- a/coordination/router.cpp
+++ b/coordination/router.cpp
@@ -177,20 +177,16 @@
     return known ? local(route_verb::local_answer, pool) : drop(drop_reason::wrong_source);
 }
 
-// The executor's incarnation is gone. Only it knew which requests ran, so nothing but an idempotent
-// request may go on to another host.
-route without_executor(decision_input const& in, pool_id pool, route_verb verb)
+// The executor's incarnation is gone, or is taken to be. Only it knows which requests ran. No other
+// host runs them, not even idempotent ones: a frozen executor may still answer "not run" to one when
+// it wakes up, which must stay true. The caller repeats an idempotent request in another flow.
+route without_executor(decision_input const& in)
 {
     if (in.packet.kind == packet_kind::close)
         return drop(drop_reason::executor_gone);
-    if (!in.packet.idempotent)
-        return reply(in.packet, packet_kind::answer, packet_status::outcome_unknown);
-    cluster_entry const* const holder = in.view.holder(pool);
-    if (holder == nullptr) // not a "not run": an earlier copy may have run
+    if (in.packet.idempotent)
         return reply(in.packet, packet_kind::given_up, packet_status::upstream_gone);
-    if (holder->who == in.view.self())
-        return local(verb, pool);
-    return to_host(in, holder->packet);
+    return reply(in.packet, packet_kind::answer, packet_status::outcome_unknown);
 }
 
 // Request flows: requests, cancels and closes go to the executor that the id names.
@@ -227,7 +223,7 @@
     // than the executor's has been judged so already, and must not go back.
     bool const judged = id.issuer.host == in.view.self().host || in.packet.hops > 0;
     endpoint const executor = judged ? endpoint{} : reach(in, id.issuer.host);
-    return executor.is_set() ? to_host(in, executor) : without_executor(in, pool, verb);
+    return executor.is_set() ? to_host(in, executor) : without_executor(in);
 }
 
 bool has_room_for_new_work(routing_table const& table, pool_id pool)
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -355,6 +355,9 @@
     CHECK(f.status(1) == packet_status::outcome_unknown);
     f.request(2, true);
     CHECK(f.attempts().size() == 1);
+    f.p.set_lease({}); // the dead executor may have run it: not_run would be false
+    f.request(4, true);
+    CHECK(f.status(4) == packet_status::outcome_unknown);
     f.flow.issuer = self;
     f.advance(seconds(30));
     f.request(3);
