--- a/standins/fabric.cpp
+++ b/standins/fabric.cpp
@@ -220,8 +220,11 @@
     net.listen(io, require_endpoint(values["listen"].as<std::string>(), "--listen"));
     if (values.count("control") != 0)
         serve_http(io, require_endpoint(values["control"].as<std::string>(), "--control"),
-                   [&net](http_call const&, http_responder const& respond) {
-                       respond({200, json::serialize(net.report())});
+                   [&net](http_call const& call, http_responder const& respond)
+                   {
+                       bool const command = call.path == "/control" && call.method == "POST";
+                       respond(command ? net.control(parse_object(call.body))
+                                       : http_reply{200, json::serialize(net.report())});
                    });
     readiness ready(all);
     ready.start();
