--- a/coordination/membership.cpp
+++ b/coordination/membership.cpp
@@ -10,6 +10,9 @@
 {
 
 constexpr duration news_time = std::chrono::seconds(3);   // news is put first this long
+// After an announcement, heartbeats go to every other zone: at once to a few hosts, then to one.
+constexpr duration announce_time = std::chrono::seconds(2);
+constexpr std::size_t announce_per_zone = 3;
 constexpr duration run_memory = std::chrono::seconds(10); // the previous run is told this long
 constexpr std::uint64_t watch_key = 0x7761746368;         // rendezvous key of the watchers
 constexpr std::size_t watchers_per_zone = 2;
@@ -145,6 +148,7 @@
 
 void membership::announce(time_point now, outgoing_heartbeats& out)
 {
+    announced_ = now;
     emit(now, out);
 }
 
@@ -168,8 +172,22 @@
         }
         add(local_[local_next_++], beat, now, out);
     }
-    if (auto const remote = next_remote())
-        add(*remote, beat, now, out);
+    // With one host of one zone at a time, a change that a single host knew reached a zone whose
+    // other hosts were frozen only after several seconds.
+    std::size_t const each_zone =
+        now == announced_ ? announce_per_zone : now - announced_ < announce_time ? 1 : 0;
+    if (each_zone == 0)
+    {
+        if (auto const remote = next_remote())
+            add(*remote, beat, now, out);
+        return;
+    }
+    for (auto& zone : remote_)
+    {
+        std::shuffle(zone.begin(), zone.end(), random_);
+        for (std::size_t i = 0; i < std::min(each_zone, zone.size()); ++i)
+            add(zone[i], beat, now, out);
+    }
 }
 
 // Appends one heartbeat. A host that has just started is also told of its previous run, which shows
--- a/coordination/membership.hpp
+++ b/coordination/membership.hpp
@@ -67,7 +67,7 @@
     // To be called at least every period; appends the heartbeats that are due. The driver sets the
     // hybrid clock of each.
     void tick(time_point now, outgoing_heartbeats& out);
-    // Heartbeats at once, after a new revision or state.
+    // Heartbeats at once, also to every other zone, after a new revision or state.
     void announce(time_point now, outgoing_heartbeats& out);
     void on_heartbeat(heartbeat const& h, time_point now);
 
@@ -130,6 +130,7 @@
     host_state local_state_{};
     std::optional<time_point> next_beat_;
     time_point last_tick_;
+    time_point announced_{-std::chrono::hours(1)}; // latest announcement
     incarnation earlier_run_;
     incarnation newer_run_;
 };
--- a/coordination/pool_dispatch.cpp
+++ b/coordination/pool_dispatch.cpp
@@ -357,7 +357,7 @@
     if (median && a.deadline - a.sent < *median * judged_medians)
         return;
     if (alive)
-        u.limit.on_answer(a.sent, now, climb_);
+        u.limit.on_late(a.sent, now, climb_);
     else
         u.limit.on_failure(a.sent, now, climb_);
 }
--- a/coordination/router.cpp
+++ b/coordination/router.cpp
@@ -97,12 +97,13 @@
 // Whether a packet of this stream or upload may go to the address in the id.
 id_standing standing(routing_table const& table, flow_id const& id, upstream_config const* owner)
 {
-    if (table.zone_is_out(id.zone))
-        return id_standing::zone_out;
     if (table.rev() < id.config)
-        // A newer host vouched for the address, unless it is another service's here.
+        // A newer host vouched for the address and the zone, unless the address is another service's
+        // here. That the zone was out at some earlier revision must not end the flow.
         return owner != nullptr && owner->service != id.service ? id_standing::stale_table
                                                                 : id_standing::valid;
+    if (table.zone_is_out(id.zone))
+        return id_standing::zone_out;
     upstream_config const* const u = table.find(id.upstream);
     if (u == nullptr || u->owner != id.upstream_owner || u->service != id.service ||
         u->address != id.address)
--- a/coordination/upstream_limit.cpp
+++ b/coordination/upstream_limit.cpp
@@ -110,14 +110,22 @@
 }
 
 void upstream_limit::on_answer(time_point sent, time_point now, climb_guard& guard)
+{
+    take(sent, now, median_ != duration{} && now - sent > median_ * slow_factor, guard);
+}
+
+void upstream_limit::on_late(time_point sent, time_point now, climb_guard& guard)
+{
+    take(sent, now, true, guard);
+}
+
+void upstream_limit::take(time_point sent, time_point now, bool slow, climb_guard& guard)
 {
     if (sent < fell_at_)
         return;
-    duration const latency = now - sent;
-    bool const slow = median_ != duration{} && latency > median_ * slow_factor;
     slow_ = slow ? static_cast<std::uint16_t>(slow_ + 1) : std::uint16_t{0};
     if (limit_ == settings_.slots)
-        record(latency);
+        record(now - sent);
     if (slow_ >= slow_answers_to_fall)
     {
         fail_climb(now, guard);
--- a/coordination/upstream_limit.hpp
+++ b/coordination/upstream_limit.hpp
@@ -65,6 +65,9 @@
     std::optional<duration> warm_median() const;
 
     void on_answer(time_point sent, time_point now, climb_guard& guard);
+    // An attempt that was not answered by its deadline, while the upstream answers others. Counts as
+    // a slow answer, also while no median says what is slow.
+    void on_late(time_point sent, time_point now, climb_guard& guard);
     // A shed answer, or a time-out that had enough time to be answered.
     void on_failure(time_point sent, time_point now, climb_guard& guard);
     // Another upstream of the pool has recovered: the next probe is due soon.
@@ -72,6 +75,7 @@
 
 private:
     static constexpr std::size_t latency_window = 32;
+    void take(time_point sent, time_point now, bool slow, climb_guard& guard);
     void fall(time_point now);
     void fail_climb(time_point now, climb_guard& guard) const;
     void rise(time_point now, climb_guard& guard);
--- a/soak/chaos.hpp
+++ b/soak/chaos.hpp
@@ -32,7 +32,8 @@
     void watch_exit(std::size_t n, incarnation run);
     bool may_change_list() const;
     void list_changed(std::string const& what);
-    void set_listed(std::size_t n, bool listed, host_state state);
+    // False if the list may not change now.
+    bool set_listed(std::size_t n, bool listed, host_state state);
 
     // Faults.
     void fault();
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -347,6 +347,21 @@
     CHECK(f.p.idle());
 }
 
+// Guards against time-outs that raise the limit of a cold upstream while no median is known.
+TEST_CASE("a late attempt does not count as an answer on time")
+{
+    upstream_limit l;
+    climb_guard guard;
+    l.configure({3, 1, 4, 1});
+    time_point now{seconds(100)};
+    for (int i = 0; i < 8; ++i, now += milliseconds(50))
+        l.on_late(now - milliseconds(50), now, guard);
+    CHECK(l.limit() == 1);
+    for (int i = 0; i < 4; ++i, now += milliseconds(50))
+        l.on_answer(now - milliseconds(50), now, guard);
+    CHECK(l.limit() == 2);
+}
+
 TEST_CASE("requests of expired flows and of dead executors have an unknown outcome")
 {
     fixture f;
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -381,6 +381,20 @@
     CHECK(f.decide(2, flow_packet(packet_kind::request, id)).status == packet_status::zone_out);
 }
 
+// Guards against the end of a flow by a host that starts again and passes old revisions: its table
+// says that the zone is out, the id is newer and its zone has returned.
+TEST_CASE("an older table does not end a flow because its zone was out")
+{
+    fixture f;
+    fleet_config newer = f.config;
+    newer.rev.value = f.config.rev.value + 5;
+    routing_table const issued(newer, {}, secret);
+    auto const id =
+        flow_issuer(host(2, akl).who).stream(flow_kind::stream, *issued.find(upstream_id{1}), issued);
+    f.config.zones[0].state = zone_state::out;
+    CHECK(f.decide(2, flow_packet(packet_kind::data, id)).verb == route_verb::to_upstream);
+}
+
 // Guards against a run elsewhere of a request that its frozen executor then answers as not run, and
 // against a second run of an order.
 TEST_CASE("requests of a lost executor")
