--- a/coordination/membership.cpp
+++ b/coordination/membership.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-constexpr duration news_time = std::chrono::seconds(3);   // news is put first this long
+constexpr duration news_time = std::chrono::seconds(3); // news is put first this long
 // After an announcement, heartbeats go to every other zone: at once to a few hosts, then to one.
 constexpr duration announce_time = std::chrono::seconds(2);
 constexpr std::size_t announce_per_zone = 3;
@@ -174,8 +174,9 @@
     }
     // With one host of one zone at a time, a change that a single host knew reached a zone whose
     // other hosts were frozen only after several seconds.
-    std::size_t const each_zone =
-        now == announced_ ? announce_per_zone : now - announced_ < announce_time ? 1 : 0;
+    std::size_t const each_zone = now == announced_                  ? announce_per_zone
+                                  : now - announced_ < announce_time ? 1
+                                                                     : 0;
     if (each_zone == 0)
     {
         if (auto const remote = next_remote())
--- a/coordination/router.cpp
+++ b/coordination/router.cpp
@@ -98,8 +98,8 @@
 id_standing standing(routing_table const& table, flow_id const& id, upstream_config const* owner)
 {
     if (table.rev() < id.config)
-        // A newer host vouched for the address and the zone, unless the address is another service's
-        // here. That the zone was out at some earlier revision must not end the flow.
+        // A newer host vouched for the address and the zone, unless the address is another
+        // service's here. That the zone was out at some earlier revision must not end the flow.
         return owner != nullptr && owner->service != id.service ? id_standing::stale_table
                                                                 : id_standing::valid;
     if (table.zone_is_out(id.zone))
@@ -179,8 +179,8 @@
 }
 
 // The executor's incarnation is gone, or is taken to be. Only it knows which requests ran. No other
-// host runs them, not even idempotent ones: a frozen executor may still answer "not run" to one when
-// it wakes up, which must stay true. The caller repeats an idempotent request in another flow.
+// host runs them, not even idempotent ones: a frozen executor may still answer "not run" to one
+// when it wakes up, which must stay true. The caller repeats an idempotent request in another flow.
 route without_executor(decision_input const& in)
 {
     if (in.packet.kind == packet_kind::close)
--- a/coordination/upstream_limit.hpp
+++ b/coordination/upstream_limit.hpp
@@ -65,8 +65,8 @@
     std::optional<duration> warm_median() const;
 
     void on_answer(time_point sent, time_point now, climb_guard& guard);
-    // An attempt that was not answered by its deadline, while the upstream answers others. Counts as
-    // a slow answer, also while no median says what is slow.
+    // An attempt that was not answered by its deadline, while the upstream answers others. Counts
+    // as a slow answer, also while no median says what is slow.
     void on_late(time_point sent, time_point now, climb_guard& guard);
     // A shed answer, or a time-out that had enough time to be answered.
     void on_failure(time_point sent, time_point now, climb_guard& guard);
--- a/soak/chaos.cpp
+++ b/soak/chaos.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 constexpr sim_time mean_fault = 900 * ms;
-constexpr sim_time first_fault = 20 * second;      // leases settle and upstreams warm up before
+constexpr sim_time first_fault = 20 * second; // leases settle and upstreams warm up before
 // Leases assume that two hosts never have different lists for longer than this (list_skew), so
 // that no cut or outage starts sooner after a change of the list of entry hosts.
 constexpr sim_time list_skew = 10 * second;
@@ -234,8 +234,8 @@
     std::uint64_t const draw = sim_.below(100);
     host& h = *w_.hosts[n];
     bool const usable = h.running() && !h.leaving;
-    auto const running = std::count_if(w_.hosts.begin(), w_.hosts.end(),
-                                       [](auto const& x) { return x->running(); });
+    auto const running =
+        std::count_if(w_.hosts.begin(), w_.hosts.end(), [](auto const& x) { return x->running(); });
     if (draw < 12 && usable && running > 4)
         kill(n);
     else if (draw < 26 && h.running() && running > 4)
@@ -369,8 +369,9 @@
     if (w_.net.any_cut() || w_.store.down)
         return;
     auto& all = w_.store.list.hosts;
-    auto const upstreams = std::find_if(all.begin(), all.end(), [](listed_host const& l)
-                                        { return l.kind == listed_kind::upstream; });
+    auto const upstreams =
+        std::find_if(all.begin(), all.end(),
+                     [](listed_host const& l) { return l.kind == listed_kind::upstream; });
     if (upstreams != all.end())
     {
         w_.listed_leaving.erase(upstreams->id);
--- a/soak/chaos.hpp
+++ b/soak/chaos.hpp
@@ -55,9 +55,9 @@
     simulation& sim_;
     std::uint32_t zones_{};
     bool drift_seed_{};
-    std::vector<std::uint32_t> runs_;   // latest incarnation, by host
-    std::vector<std::int64_t> rates_;   // ppm, by host
-    host_list all_hosts_;               // as in the settings of each host
+    std::vector<std::uint32_t> runs_; // latest incarnation, by host
+    std::vector<std::int64_t> rates_; // ppm, by host
+    host_list all_hosts_;             // as in the settings of each host
     sim_time list_changed_{};
     sim_time key_rotated_{};
     sim_time restored_{-60 * second};
--- a/soak/checker.cpp
+++ b/soak/checker.cpp
@@ -7,7 +7,7 @@
 
 namespace
 {
-constexpr sim_time act_time = 3 * second;        // zone out, drain, leaving
+constexpr sim_time act_time = 3 * second; // zone out, drain, leaving
 constexpr sim_time propagation_time = 10 * second;
 constexpr sim_time given_up_slack = 10 * second; // hosts may learn late that a zone is in again
 std::string name(host_instance h)
@@ -27,11 +27,10 @@
     holders[holder] = until;
     for (auto const& [other, end] : holders)
         if (other != holder && end > w_.sim.now())
-            w_.sim.violation("two leases",
-                             name(holder) + " and " + name(other) + " for service " +
-                                 std::to_string(pool.service.value) + " zone " +
-                                 std::to_string(pool.zone.value) + ", overlap " +
-                                 std::to_string(end - w_.sim.now()) + " us");
+            w_.sim.violation("two leases", name(holder) + " and " + name(other) + " for service " +
+                                               std::to_string(pool.service.value) + " zone " +
+                                               std::to_string(pool.zone.value) + ", overlap " +
+                                               std::to_string(end - w_.sim.now()) + " us");
 }
 
 void checker::forget_leases(host_instance holder)
@@ -50,9 +49,9 @@
     if (fresh)
         w_.accepted_at[config->rev.value] = w_.sim.now();
     else if (!(*i->second == *config))
-        w_.sim.violation("10 one change for each revision",
-                         name(h.self) + " has another revision " +
-                             std::to_string(config->rev.value));
+        w_.sim.violation("10 one change for each revision", name(h.self) +
+                                                                " has another revision " +
+                                                                std::to_string(config->rev.value));
 }
 
 template<class Reached>
@@ -114,13 +113,11 @@
         w_.sim.violation("8 leaving upstream", std::string(what) + " from " + name(from.self) +
                                                    " to upstream " + std::to_string(id.value));
     for (listed_host const& l : w_.store.list.hosts)
-        if (l.kind == listed_kind::upstream && l.id == id.value &&
-            l.state == host_state::leaving &&
+        if (l.kind == listed_kind::upstream && l.id == id.value && l.state == host_state::leaving &&
             should_know(from, act_time,
                         [&](host const& g) { return g.reached_list(w_.listed_leaving[id.value]); }))
-            w_.sim.violation("8 listed as leaving", std::string(what) + " from " +
-                                                        name(from.self) + " to upstream " +
-                                                        std::to_string(id.value));
+            w_.sim.violation("8 listed as leaving", std::string(what) + " from " + name(from.self) +
+                                                        " to upstream " + std::to_string(id.value));
 }
 
 void checker::issued(host const& from, flow_id const& id)
@@ -132,9 +129,8 @@
 // Rule 6: a request that is answered not_run has not run and never will.
 void checker::answered(host const& from, packet_view const& p)
 {
-    bool const not_run =
-        p.status >= packet_status::not_run_overloaded &&
-        p.status <= packet_status::not_run_shutting_down;
+    bool const not_run = p.status >= packet_status::not_run_overloaded &&
+                         p.status <= packet_status::not_run_shutting_down;
     if (!not_run || p.flow_id.empty() ||
         (p.kind != packet_kind::refused && p.kind != packet_kind::answer))
         return;
@@ -163,8 +159,9 @@
             break;
     }
     auto const& all = latest().upstreams;
-    excused = excused || std::none_of(all.begin(), all.end(), [&](upstream_config const& u)
-                                      { return u.id == id.upstream; });
+    excused =
+        excused || std::none_of(all.begin(), all.end(),
+                                [&](upstream_config const& u) { return u.id == id.upstream; });
     for (upstream_config const& u : all)
         excused = excused || (u.address == id.address && u.owner != id.upstream_owner);
     if (!excused)
@@ -182,8 +179,8 @@
             continue;
         revision const next{h->table().rev().value + 1};
         if (should_know(*h, propagation_time, [&](host const& g) { return g.reached(next); }))
-            w_.sim.violation("10 propagation", name(h->self) + " lacks revision " +
-                                                   std::to_string(next.value));
+            w_.sim.violation("10 propagation",
+                             name(h->self) + " lacks revision " + std::to_string(next.value));
     }
 }
 
--- a/soak/host.cpp
+++ b/soak/host.cpp
@@ -146,8 +146,7 @@
             pool_of(r.pool).on_open(p.view(), now, out_);
             return send_all();
         }
-        return open_without_holder(p.view(),
-                                   router::fallback_open(p.view(), *table_, r.pool, key));
+        return open_without_holder(p.view(), router::fallback_open(p.view(), *table_, r.pool, key));
     case route_verb::local_request:
         pool_of(r.pool).on_request(p.view(), r.id, now, out_);
         return send_all();
@@ -237,7 +236,8 @@
         if (to == self.host)
             holder_.on_reply(granter_.on_request(request, local()), local());
         else
-            w_.send_control(*this, to, [from = self.host, request = request](host& h)
+            w_.send_control(*this, to,
+                            [from = self.host, request = request](host& h)
                             { h.on_lease_request(from, request); });
 }
 
@@ -250,7 +250,8 @@
 
 void host::on_lease_request(host_id from, lease_request const& r)
 {
-    w_.send_control(*this, from, [reply = granter_.on_request(r, local())](host& h)
+    w_.send_control(*this, from,
+                    [reply = granter_.on_request(r, local())](host& h)
                     { h.on_lease_reply(reply); });
 }
 
@@ -369,28 +370,28 @@
         return;
     }
     w_.sim.after(call_timeout, [me = shared_from_this()] { me->pulling_ = false; });
-    w_.send_control(
-        *this, *peer,
-        [me = shared_from_this(), since = log_.rev()](host& h)
-        {
-            auto const changes = h.log_.changes_since(since);
-            auto const config = h.log_.current();
-            h.w_.send_control(h, me->self.host,
-                              [changes, config, list = h.list_](host& back)
-                              {
-                                  back.pulling_ = false;
-                                  bool changed = false;
-                                  if (!changes)
-                                      changed = back.log_.install(*config);
-                                  else
-                                      for (config_change const& c : *changes)
-                                          changed = back.log_.apply(c).step == log_step::applied ||
-                                                    changed;
-                                  if (changed)
-                                      back.publish();
-                                  back.take_list(list);
-                              });
-        });
+    w_.send_control(*this, *peer,
+                    [me = shared_from_this(), since = log_.rev()](host& h)
+                    {
+                        auto const changes = h.log_.changes_since(since);
+                        auto const config = h.log_.current();
+                        h.w_.send_control(h, me->self.host,
+                                          [changes, config, list = h.list_](host& back)
+                                          {
+                                              back.pulling_ = false;
+                                              bool changed = false;
+                                              if (!changes)
+                                                  changed = back.log_.install(*config);
+                                              else
+                                                  for (config_change const& c : *changes)
+                                                      changed = back.log_.apply(c).step ==
+                                                                    log_step::applied ||
+                                                                changed;
+                                              if (changed)
+                                                  back.publish();
+                                              back.take_list(list);
+                                          });
+                    });
 }
 
 void host::take_list(host_list const& list)
@@ -468,8 +469,8 @@
 {
     if (dead)
         return;
-    bool const idle = std::all_of(pools_.begin(), pools_.end(),
-                                  [](auto const& p) { return p.second->idle(); });
+    bool const idle =
+        std::all_of(pools_.begin(), pools_.end(), [](auto const& p) { return p.second->idle(); });
     bool const done = idle && holder_.held(local()).empty();
     if (!frozen && (done || w_.sim.now() >= until))
     {
@@ -478,9 +479,9 @@
                      {
                          if (me->dead)
                              return;
-                         bool const left = !std::all_of(me->pools_.begin(), me->pools_.end(),
-                                                        [](auto const& p)
-                                                        { return p.second->idle(); });
+                         bool const left =
+                             !std::all_of(me->pools_.begin(), me->pools_.end(),
+                                          [](auto const& p) { return p.second->idle(); });
                          if (left)
                              me->w_.sim.violation("9 graceful shutdown",
                                                   "requests in hand at the exit of host " +
--- a/soak/host.hpp
+++ b/soak/host.hpp
@@ -38,7 +38,10 @@
 
     bool running() const { return !dead && !frozen; }
     // The fabric hands packets to ready hosts only.
-    bool ready() const { return running() && !leaving && table_->rev().value > 0 && !zone_is_out(); }
+    bool ready() const
+    {
+        return running() && !leaving && table_->rev().value > 0 && !zone_is_out();
+    }
     bool zone_is_out() const { return table_->zone_is_out(zone); }
     routing_table const& table() const { return *table_; }
     config_log const& log() const { return log_; }
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -26,6 +26,7 @@
     bool digest{};
     bool trace{};
     bool verbose{};
+    bool replay{};
 };
 
 struct outcome
@@ -79,7 +80,12 @@
     {
         for (std::uint64_t i = next++; i < o.seeds; i = next++)
         {
-            outcome const r = run_seed(o.seed + i, o);
+            outcome r = run_seed(o.seed + i, o);
+            if (o.replay && run_seed(o.seed + i, o).digest != r.digest)
+            {
+                ++r.violations;
+                r.reports.emplace_back("the second run of the seed differs");
+            }
             std::lock_guard const lock(mutex);
             violations += r.violations;
             print(o.seed + i, r, o);
@@ -100,11 +106,12 @@
     options o;
     po::options_description description("options");
     description.add_options()("help", "show this text")("seed", po::value(&o.seed), "first seed")(
-        "seeds", po::value(&o.seeds), "number of seeds")("steps", po::value(&o.steps),
-                                                         "events for each seed")(
-        "threads", po::value(&o.threads), "seeds that run at a time")(
+        "seeds", po::value(&o.seeds), "number of seeds")(
+        "steps", po::value(&o.steps), "events for each seed")("threads", po::value(&o.threads),
+                                                              "seeds that run at a time")(
         "digest", po::bool_switch(&o.digest), "print the digest of each event log")(
         "trace", po::bool_switch(&o.trace), "print faults and changes")(
+        "replay", po::bool_switch(&o.replay), "run each seed twice and compare the digests")(
         "verbose", po::bool_switch(&o.verbose), "print figures of each seed");
     po::variables_map values;
     try
@@ -135,7 +142,7 @@
     std::cout << "seeds=" << o.seeds << " steps_per_second="
               << static_cast<std::uint64_t>(static_cast<double>(o.steps * o.seeds) / seconds)
               << '\n';
-    std::cout << "violations=" << violations << " steps=" << o.steps * o.seeds
-              << " seed=" << o.seed << '\n';
+    std::cout << "violations=" << violations << " steps=" << o.steps * o.seeds << " seed=" << o.seed
+              << '\n';
     return violations == 0 ? 0 : 1;
 }
--- a/soak/models.cpp
+++ b/soak/models.cpp
@@ -90,8 +90,8 @@
 // server: before that it cannot know.
 void server::check_load(packet const& p)
 {
-    auto const prompt = static_cast<std::uint32_t>(
-        std::count_if(running_.begin(), running_.end(), [](auto const& r) { return !r.second.late; }));
+    auto const prompt = static_cast<std::uint32_t>(std::count_if(
+        running_.begin(), running_.end(), [](auto const& r) { return !r.second.late; }));
     if (running_.size() + 1 <= bears())
         return;
     auto const sign = signs_.find(p.sender);
@@ -174,8 +174,8 @@
 void caller::act()
 {
     if (w_.sim.chance(0.05))
-        std::erase_if(pending_, [this](auto const& p)
-                      { return p.second.deadline + memory < w_.sim.now(); });
+        std::erase_if(pending_,
+                      [this](auto const& p) { return p.second.deadline + memory < w_.sim.now(); });
     if (live_streams_ < max_streams && w_.sim.chance(0.05))
         return open(w_.sim.chance(0.5) ? flow_kind::stream : flow_kind::upload);
     if (flow_.empty() || w_.sim.now() - flow_opened_ > flow_lifetime)
@@ -183,8 +183,8 @@
     // Now and then something old comes again, as from a caller that missed the answer.
     if (!pending_.empty() && w_.sim.chance(0.03))
     {
-        auto const i = std::next(pending_.begin(),
-                                 static_cast<std::ptrdiff_t>(w_.sim.below(pending_.size())));
+        auto const i =
+            std::next(pending_.begin(), static_cast<std::ptrdiff_t>(w_.sim.below(pending_.size())));
         return send(i->second.request);
     }
     w_.operations.push_back({w_.sim.chance(0.4), 0});
@@ -255,7 +255,8 @@
                      if (r == pending_.end() || r->second.done || left == 0)
                          return;
                      packet p = r->second.request;
-                     sim_time const rest = std::max<sim_time>(r->second.deadline - w_.sim.now(), ms);
+                     sim_time const rest =
+                         std::max<sim_time>(r->second.deadline - w_.sim.now(), ms);
                      p.head.deadline_ms = static_cast<std::uint32_t>(rest / ms);
                      send(p);
                      resend(request, pause * 2, left - 1);
@@ -335,8 +336,8 @@
         w_.sim.violation("5 own answer", "answer with another flow id");
     if (p.head.kind == packet_kind::answer && p.head.status == packet_status::ok &&
         p.payload != answer_text(r.submission))
-        w_.sim.violation("5 own answer", "got " + p.payload + " for " +
-                                             std::to_string(r.submission));
+        w_.sim.violation("5 own answer",
+                         "got " + p.payload + " for " + std::to_string(r.submission));
     if (r.done)
         return;
     r.done = true;
@@ -388,20 +389,21 @@
 
 std::size_t caller::silent_since(sim_time t) const
 {
-    return static_cast<std::size_t>(std::count_if(
-        streams_.begin(), streams_.end(),
-        [&](stream const& s)
-        {
-            server const* const u = w_.find_server(s.id.address);
-            return !s.ended && s.opened < t && s.last_echo < t && u != nullptr && u->alive &&
-                   u->service == service_;
-        }));
+    return static_cast<std::size_t>(std::count_if(streams_.begin(), streams_.end(),
+                                                  [&](stream const& s)
+                                                  {
+                                                      server const* const u =
+                                                          w_.find_server(s.id.address);
+                                                      return !s.ended && s.opened < t &&
+                                                             s.last_echo < t && u != nullptr &&
+                                                             u->alive && u->service == service_;
+                                                  }));
 }
 
 bool caller::uses(endpoint address) const
 {
-    return std::any_of(streams_.begin(), streams_.end(), [&](stream const& s)
-                       { return !s.ended && s.id.address == address; });
+    return std::any_of(streams_.begin(), streams_.end(),
+                       [&](stream const& s) { return !s.ended && s.id.address == address; });
 }
 
 } // namespace chivelever::soak
--- a/soak/models.hpp
+++ b/soak/models.hpp
@@ -69,10 +69,7 @@
     void request(packet const& p, endpoint source);
     void check_load(packet const& p);
     void answer(packet const& p, endpoint to, packet_status status);
-    std::uint32_t bears() const
-    {
-        return std::min<std::uint32_t>(slots_, 1 + answered_ / 4);
-    }
+    std::uint32_t bears() const { return std::min<std::uint32_t>(slots_, 1 + answered_ / 4); }
 
     world& w_;
     endpoint address_;
@@ -81,7 +78,7 @@
     std::uint32_t answered_{}; // since the last cold start
     std::uint64_t life_{1};    // rises with each cold start
     sim_time started_{};
-    bool unannounced_{}; // the last cold start was not announced
+    bool unannounced_{};                      // the last cold start was not announced
     std::map<host_instance, sim_time> signs_; // first shed answer received since the cold start
     std::map<std::uint64_t, run> running_;    // by attempt id
     std::unordered_set<std::uint64_t> seen_;
--- a/soak/operators.cpp
+++ b/soak/operators.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 constexpr sim_time mean_change = 1'200 * ms;
-constexpr sim_time key_pause = 25 * second;  // a flow may live through two rotations
+constexpr sim_time key_pause = 25 * second; // a flow may live through two rotations
 constexpr sim_time max_flow_age = 60 * second;
 constexpr sim_time ask_again = 2 * second;
 constexpr int max_tries = 20;
@@ -36,8 +36,8 @@
         if (l.kind != listed_kind::entry)
             continue;
         host const& h = *w_.hosts[l.id - 1];
-        bool const answers = h.running() && !w_.net.is_cut(at.zone, h.zone) &&
-                             !w_.net.is_cut(h.zone, at.zone);
+        bool const answers =
+            h.running() && !w_.net.is_cut(at.zone, h.zone) && !w_.net.is_cut(h.zone, at.zone);
         lowest = std::min(lowest, answers ? h.table().rev() : revision{});
     }
     return lowest;
@@ -45,15 +45,19 @@
 
 bool chaos::submit(host& at, std::vector<operation> operations, std::string id)
 {
-    config_change change{{}, id.empty() ? change_id() : std::move(id), "ana", "soak",
-                         1'700'000'000'000, std::move(operations)};
+    config_change change{{},
+                         id.empty() ? change_id() : std::move(id),
+                         "ana",
+                         "soak",
+                         1'700'000'000'000,
+                         std::move(operations)};
     submit_result const r = at.submit(std::move(change), in_force(at));
     sim_.note(static_cast<std::uint64_t>(r.status), r.rev.value);
     w_.count.changes += r.status == submit_status::accepted ? 1 : 0;
     sim_.log("change at host " + std::to_string(at.self.host.value) + ": " +
-             (r.status == submit_status::accepted ? "accepted as " + std::to_string(r.rev.value)
-                                                  : "status " + std::to_string(static_cast<int>(
-                                                                    r.status))));
+             (r.status == submit_status::accepted
+                  ? "accepted as " + std::to_string(r.rev.value)
+                  : "status " + std::to_string(static_cast<int>(r.status))));
     return r.status == submit_status::accepted;
 }
 
@@ -79,8 +83,9 @@
     if (draw < 20)
     {
         auto const* const u = any_in_state(sim_, c, upstream_state::active);
-        auto const left = std::count_if(c.upstreams.begin(), c.upstreams.end(), [](auto const& x)
-                                        { return x.state == upstream_state::active; });
+        auto const left =
+            std::count_if(c.upstreams.begin(), c.upstreams.end(),
+                          [](auto const& x) { return x.state == upstream_state::active; });
         if (u != nullptr && left > static_cast<long>(w_.servers.size() / 2))
             return {set_upstream_state{u->name, upstream_state::draining}};
     }
@@ -99,8 +104,9 @@
     else if (draw < 85)
     {
         zone_config const& z = c.zones[sim_.below(c.zones.size())];
-        bool const any_out = std::any_of(c.zones.begin(), c.zones.end(), [](zone_config const& x)
-                                         { return x.state == zone_state::out; });
+        bool const any_out =
+            std::any_of(c.zones.begin(), c.zones.end(),
+                        [](zone_config const& x) { return x.state == zone_state::out; });
         if (z.state == zone_state::out)
             return {set_zone_state{z.name, zone_state::in}};
         if (!any_out && draw < 70)
@@ -126,8 +132,9 @@
     auto const* const u = any_in_state(sim_, c, upstream_state::retired);
     if (u == nullptr || reusing_)
         return;
-    bool const taken = std::any_of(c.upstreams.begin(), c.upstreams.end(), [u](auto const& x)
-                                   { return x.address == u->address && x.id > u->id; });
+    bool const taken =
+        std::any_of(c.upstreams.begin(), c.upstreams.end(),
+                    [u](auto const& x) { return x.address == u->address && x.id > u->id; });
     bool const used = std::any_of(w_.callers.begin(), w_.callers.end(),
                                   [u](auto const& x) { return x->uses(u->address); });
     if (taken || used)
@@ -143,8 +150,7 @@
     server& s = *w_.find_server(u->address);
     s.stopped = true;
     s.set_alive(false);
-    sim_.after(last_packets,
-               [this, next, id = change_id()] { finish_reuse(id, next, max_tries); });
+    sim_.after(last_packets, [this, next, id = change_id()] { finish_reuse(id, next, max_tries); });
 }
 
 void chaos::finish_reuse(std::string const& id, upstream_config const& u, int tries)
--- a/soak/sim.hpp
+++ b/soak/sim.hpp
@@ -70,7 +70,8 @@
     {
         ++violations;
         if (reports.size() < max_reports)
-            reports.push_back(std::to_string(now_ / ms) + " ms: " + std::move(rule) + ": " + detail);
+            reports.push_back(std::to_string(now_ / ms) + " ms: " + std::move(rule) + ": " +
+                              detail);
     }
 
     std::mt19937_64 random;
@@ -92,10 +93,7 @@
         sim_time at;
         std::uint64_t order;
         std::function<void()> run;
-        bool operator<(entry const& o) const
-        {
-            return at != o.at ? at > o.at : order > o.order;
-        }
+        bool operator<(entry const& o) const { return at != o.at ? at > o.at : order > o.order; }
     };
     std::vector<entry> queue_; // heap
     sim_time now_{};
--- a/soak/world.hpp
+++ b/soak/world.hpp
@@ -13,9 +13,18 @@
 namespace chivelever::soak
 {
 
-inline endpoint host_address(host_id h) { return {0x0A000000U + h.value, 7000}; }
-inline endpoint server_address(std::uint32_t n) { return {0x0B000000U + n, 9000}; }
-inline endpoint caller_address(std::uint32_t n) { return {0x0C000000U + n, 5000}; }
+inline endpoint host_address(host_id h)
+{
+    return {0x0A000000U + h.value, 7000};
+}
+inline endpoint server_address(std::uint32_t n)
+{
+    return {0x0B000000U + n, 9000};
+}
+inline endpoint caller_address(std::uint32_t n)
+{
+    return {0x0C000000U + n, 5000};
+}
 
 struct figures
 {
@@ -68,8 +77,8 @@
     std::vector<submission_record> submissions;
     figures count;
     bool check_load{true}; // rule 3 is checked
-    bool quiet{}; // no new faults or work; what is open must recover
-    std::map<std::uint64_t, sim_time> accepted_at; // first in force anywhere, by revision
+    bool quiet{};          // no new faults or work; what is open must recover
+    std::map<std::uint64_t, sim_time> accepted_at;         // first in force anywhere, by revision
     std::map<std::uint32_t, std::uint64_t> listed_leaving; // list version, by upstream id
 
 private:
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -389,8 +389,8 @@
     fleet_config newer = f.config;
     newer.rev.value = f.config.rev.value + 5;
     routing_table const issued(newer, {}, secret);
-    auto const id =
-        flow_issuer(host(2, akl).who).stream(flow_kind::stream, *issued.find(upstream_id{1}), issued);
+    auto const id = flow_issuer(host(2, akl).who)
+                        .stream(flow_kind::stream, *issued.find(upstream_id{1}), issued);
     f.config.zones[0].state = zone_state::out;
     CHECK(f.decide(2, flow_packet(packet_kind::data, id)).verb == route_verb::to_upstream);
 }
