--- a/coordination/membership.cpp
+++ b/coordination/membership.cpp
@@ -9,6 +9,9 @@
 {
 
 constexpr duration start_time = std::chrono::seconds(10); // after a start, told of the list's age
+// After an announcement, heartbeats go to every other zone: at once to a few hosts, then to one.
+constexpr duration announce_time = std::chrono::seconds(2);
+constexpr std::size_t announce_per_zone = 3;
 constexpr std::uint64_t watch_key = 0x7761746368;         // rendezvous key of the watchers
 constexpr std::size_t watchers_per_zone = 2;
 constexpr std::uint32_t first_beats = 6;  // of a run; its sender knows little yet
@@ -149,6 +152,7 @@
 
 void membership::announce(time_point now, outgoing_heartbeats& out)
 {
+    announced_ = now;
     emit(now, out);
 }
 
@@ -179,10 +183,23 @@
         }
         add(local_[local_next_++], beat, now, out);
     }
-    if (auto const remote = next_remote())
+    // With one host of one zone at a time, a change that a single host knew reached a zone whose
+    // other hosts were frozen only after several seconds.
+    beat.progress = progress(true, settings_.progress_remote);
+    std::size_t const each_zone = now == announced_                  ? announce_per_zone
+                                  : now - announced_ < announce_time ? 1
+                                                                     : 0;
+    if (each_zone == 0)
     {
-        beat.progress = progress(true, settings_.progress_remote);
-        add(*remote, std::move(beat), now, out);
+        if (auto const remote = next_remote())
+            add(*remote, std::move(beat), now, out);
+        return;
+    }
+    for (auto& zone : remote_)
+    {
+        std::shuffle(zone.begin(), zone.end(), random_);
+        for (std::size_t i = 0; i < std::min(each_zone, zone.size()); ++i)
+            add(zone[i], beat, now, out);
     }
 }
 
