Release addresses in a step of their own; spread opens by capacity

Change: an address is free only after 'upstream release' is in force on every listed host; the own zone keeps its fair share of opens by slots and weights, and the surplus goes to zones with a deficit. The rule's test is stricter than before: reuse of a retired address is refused whatever is in force.

--- a/client/fleet_commands.cpp
+++ b/client/fleet_commands.cpp
@@ -125,7 +125,7 @@
         number_option(c, "slots", old == nullptr ? default_slots : old->slots, 10'000));
     u.connections = static_cast<std::uint32_t>(number_option(
         c, "connections", old == nullptr ? default_connections : old->connections, 1'000'000));
-    if (old != nullptr && *old == u && u.state != upstream_state::retired &&
+    if (old != nullptr && *old == u && u.state < upstream_state::retired &&
         c.option("change-id").empty())
         return nothing_to_do(c, config);
     u.state = upstream_state::active;
@@ -195,6 +195,10 @@
         {"upstream remove", "NAME", 1, "Retire an upstream; its open flows still reach it.",
          "upstream remove desk-3 --reason 'host sold'", with_change_options(),
          upstream_to(upstream_state::retired)},
+        {"upstream release", "NAME", 1,
+         "Give up the flows of a removed upstream, so that its address may go to another service.",
+         "upstream release desk-3 --reason 'address moves to intake'", with_change_options(),
+         upstream_to(upstream_state::released)},
         {"service list", "", 0, "List services.", "service list", {}, lists("services")},
         {"service add", "NAME", 1, "Add a service.", "service add desk --id 1",
          with_change_options({id_option()}), add_service},
--- a/coordination/cluster_view.cpp
+++ b/coordination/cluster_view.cpp
@@ -24,6 +24,8 @@
         if (host >= index_.size())
             index_.resize(host + 1, absent);
         index_[host] = static_cast<std::uint16_t>(i);
+        if (entries_[i].alive && entries_[i].state == host_state::live)
+            ++live_[entries_[i].zone.value];
     }
 }
 
--- a/coordination/cluster_view.hpp
+++ b/coordination/cluster_view.hpp
@@ -4,6 +4,7 @@
 
 #include "state/state.hpp"
 
+#include <array>
 #include <atomic>
 #include <cstdint>
 #include <memory>
@@ -38,6 +39,8 @@
     std::span<cluster_entry const> hosts() const { return entries_; }
     std::span<cluster_entry const> zone_hosts(zone_id id) const;
     cluster_entry const* find(host_id id) const;
+    // Hosts of the zone that are alive and not leaving: the fabric hands packets to these.
+    std::size_t live_hosts(zone_id id) const { return live_[id.value]; }
     // The host that admits to the pool: the first of the pool's zone by rendezvous hashing that is
     // alive and not leaving. Nothing exclusive depends on it; exclusivity comes from the lease.
     cluster_entry const* holder(pool_id pool) const;
@@ -53,8 +56,9 @@
 
     host_instance self_;
     zone_id zone_;
-    std::vector<cluster_entry> entries_; // ordered by zone, then host
-    std::vector<std::uint16_t> index_;   // host id -> place in entries_, or absent
+    std::vector<cluster_entry> entries_;    // ordered by zone, then host
+    std::array<std::uint16_t, 256> live_{}; // by zone
+    std::vector<std::uint16_t> index_;      // host id -> place in entries_, or absent
     // Pool (40 bits) and place of its holder in entries_ (16 bits, or absent) as one word, so that
     // threads fill and read a slot without a lock.
     mutable std::vector<std::atomic<std::uint64_t>> holders_;
--- a/coordination/config_rules.cpp
+++ b/coordination/config_rules.cpp
@@ -188,29 +188,44 @@
             if (other.address != u.address)
                 continue;
             u.owner.value = std::max(u.owner.value, other.owner.value + 1);
-            if (other.state == upstream_state::retired && other.service != u.service &&
-                other.retired_at > in_force_)
-                problem(u.name, "address " + to_string(u.address) + " belonged to upstream " +
-                                    other.name + " of another service, whose removal in revision " +
-                                    std::to_string(other.retired_at.value) +
-                                    " is not yet in force on every listed host");
+            if (other.service != u.service)
+                check_released(u, other);
         }
         std::erase_if(next_.upstreams,
                       [&](upstream_config const& other)
                       {
                           return other.address == u.address && other.service != u.service &&
-                                 other.state == upstream_state::retired;
+                                 other.state == upstream_state::released;
                       });
     }
 
+    // A host that still has the upstream as retired sends the packets of its flows there, so the
+    // address is free only once every host has applied the release.
+    void check_released(upstream_config const& u, upstream_config const& other)
+    {
+        std::string const former = "address " + to_string(u.address) + " belonged to upstream " +
+                                   other.name + " of another service, ";
+        if (other.state == upstream_state::retired)
+            problem(u.name, former + "which is retired and still gets the packets of its flows; "
+                                     "release it first");
+        if (other.state == upstream_state::released && other.retired_at > in_force_)
+            problem(u.name, former + "whose release in revision " +
+                                std::to_string(other.retired_at.value) +
+                                " is not yet in force on every listed host");
+    }
+
     void take(set_upstream_state const& o)
     {
         auto* u = find_name(next_.upstreams, o.name);
         if (u == nullptr)
             return problem(o.name, "no upstream has this name");
-        if (u->state == upstream_state::retired && o.state != upstream_state::retired)
+        if (u->state >= upstream_state::retired && o.state < upstream_state::retired)
             return problem(o.name, "is retired; put it again to use it");
-        if (u->state != o.state && o.state == upstream_state::retired)
+        if (o.state == upstream_state::released && u->state < upstream_state::retired)
+            return problem(o.name, "is in use; retire it before its address is released");
+        if (u->state == upstream_state::released && o.state == upstream_state::retired)
+            return problem(o.name, "is released, which cannot be taken back");
+        if (u->state != o.state && o.state >= upstream_state::retired)
             u->retired_at = change_.rev;
         u->state = o.state;
     }
@@ -268,7 +283,7 @@
     {
         std::vector<std::pair<revision, upstream_id>> retired;
         for (upstream_config const& u : next_.upstreams)
-            if (u.state == upstream_state::retired)
+            if (u.state >= upstream_state::retired)
                 retired.emplace_back(u.retired_at, u.id);
         if (retired.size() <= max_retired_upstreams)
             return;
@@ -369,7 +384,7 @@
                 problem("upstreams", u.name, "slots: 1 to 10000");
             if (u.connections < 1 || u.connections > max_connections)
                 problem("upstreams", u.name, "connections: 1 to 1000000");
-            if (u.state != upstream_state::retired && !live.insert(u.address).second)
+            if (u.state < upstream_state::retired && !live.insert(u.address).second)
                 problem("upstreams", u.name, "address " + to_string(u.address) + " has two owners");
         }
         bound("upstreams", live.size(), max_live_upstreams);
@@ -381,7 +396,7 @@
     {
         std::map<endpoint, service_id> live;
         for (upstream_config const& u : c_.upstreams)
-            if (u.state != upstream_state::retired)
+            if (u.state < upstream_state::retired)
                 live.emplace(u.address, u.service);
         for (upstream_config const& u : c_.upstreams)
             if (auto const it = live.find(u.address);
--- a/coordination/config_rules.hpp
+++ b/coordination/config_rules.hpp
@@ -19,8 +19,8 @@
 inline constexpr revision all_in_force{std::numeric_limits<std::uint64_t>::max()};
 
 // The document after the change, or all findings. `in_force_everywhere` is the highest revision
-// that every listed host has applied; an address of a retired upstream may go to another service
-// only if the removal is not later. The argument decides only whether a change is accepted, never
+// that every listed host has applied; the address of a released upstream may go to another service
+// only if the release is not later. The argument decides only whether a change is accepted, never
 // which document results.
 checked<fleet_config> apply(fleet_config const& config, config_change const& change,
                             revision in_force_everywhere = all_in_force);
--- a/coordination/membership.cpp
+++ b/coordination/membership.cpp
@@ -12,7 +12,7 @@
 // After an announcement, heartbeats go to every other zone: at once to a few hosts, then to one.
 constexpr duration announce_time = std::chrono::seconds(2);
 constexpr std::size_t announce_per_zone = 3;
-constexpr std::uint64_t watch_key = 0x7761746368;         // rendezvous key of the watchers
+constexpr std::uint64_t watch_key = 0x7761746368; // rendezvous key of the watchers
 constexpr std::size_t watchers_per_zone = 2;
 constexpr std::uint32_t first_beats = 6;  // of a run; its sender knows little yet
 constexpr std::size_t first_digest = 72;  // entries for a host just started
--- a/coordination/pool.hpp
+++ b/coordination/pool.hpp
@@ -126,7 +126,7 @@
         // Attempts sent that were not explicitly refused; one more if another executor may have
         // sent any before it died.
         std::uint32_t unshed{};
-        duration offered{};     // time to the deadline at arrival
+        duration offered{}; // time to the deadline at arrival
         std::string payload;
     };
     struct attempt
--- a/coordination/router.cpp
+++ b/coordination/router.cpp
@@ -9,7 +9,9 @@
 namespace
 {
 
-constexpr std::uint64_t ramp_draw_seed = 0x72616d70; // keeps the ramp's draw apart from the choice
+constexpr std::uint64_t ramp_draw_seed = 0x72616d70; // keeps the draw apart from the choice
+// A zone without a deficit is chosen only if no zone with one can be reached.
+constexpr double least_spill = 1e-6;
 
 // Everything a decision depends on, passed down as one argument.
 struct decision_input
@@ -105,8 +107,8 @@
     if (table.zone_is_out(id.zone))
         return id_standing::zone_out;
     upstream_config const* const u = table.find(id.upstream);
-    if (u == nullptr || u->owner != id.upstream_owner || u->service != id.service ||
-        u->address != id.address)
+    if (u == nullptr || u->state == upstream_state::released || u->owner != id.upstream_owner ||
+        u->service != id.service || u->address != id.address)
         return id_standing::gone;
     if (owner != u && owner != nullptr)
         return id_standing::gone; // retired, and its address has another owner by now
@@ -227,32 +229,42 @@
     return executor.is_set() ? to_host(in, executor) : without_executor(in);
 }
 
-bool has_room_for_new_work(routing_table const& table, pool_id pool)
+// Slots that a zone offers to new work of the service once its ramp is over.
+double offered(decision_input const& in, zone_id zone)
 {
-    auto const upstreams = table.pool(pool);
-    return std::any_of(upstreams.begin(), upstreams.end(),
-                       [&](auto const* u) { return table.takes_new_work(*u); });
+    return in.table.zone_is_out(zone) ? 0 : in.table.capacity({in.packet.service, zone});
 }
 
-// Preference of a zone for one open, higher first; negative if the zone takes none.
-double zone_score(decision_input const& in, zone_id zone, bool spill)
+// The zone's share of the packets: the fabric sprays them over the live hosts of all zones.
+double arrival_share(decision_input const& in, zone_id zone)
 {
-    service_id const service = in.packet.service;
-    if (in.table.zone_is_out(zone) || !has_room_for_new_work(in.table, {service, zone}))
-        return -1;
-    double const weight =
-        static_cast<double>(effective(in.table.config(), setting::weight, service, zone));
-    if (weight <= 0)
+    std::size_t all = 0;
+    for (zone_config const& z : in.table.config().zones)
+        all += z.state == zone_state::out ? 0 : in.view.live_hosts(z.id);
+    return all == 0 ? 1 : static_cast<double>(in.view.live_hosts(zone)) / static_cast<double>(all);
+}
+
+// Preference of a zone for one open, higher first; negative if the zone takes none. Zones get new
+// work in proportion to what they offer: the own zone keeps its fair share of what arrives in it,
+// and the surplus goes to zones in which less arrives than is their share. Keeping everything in
+// the own zone overloaded upstreams in zones with few of them (max over mean 1.33 for 2, 1 and 1).
+double zone_score(decision_input const& in, zone_id zone, double total, bool spill)
+{
+    double const share = total <= 0 ? 0 : offered(in, zone) / total;
+    if (share <= 0)
         return -1;
-    double const share = in.ramp.share(zone, in.now);
+    double const ramp = in.ramp.share(zone, in.now);
+    double const arrivals = arrival_share(in, zone);
     if (zone != in.view.zone())
-        return rendezvous_score(in.key, zone.value, weight * share);
-    // An open that was sent here by another host has passed the ramp there.
-    std::uint64_t const draw = hash_pair(in.key, ramp_draw_seed);
-    bool const kept = !spill || in.packet.hops > 0 ||
-                      static_cast<double>(draw) <
-                          share * static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-    return kept || share >= 1 ? std::numeric_limits<double>::infinity() : 0;
+        return rendezvous_score(in.key, zone.value,
+                                std::max(share * ramp - arrivals, share * ramp * least_spill));
+    // An open that was sent here by another host has passed the draw there.
+    double const kept = share >= arrivals ? ramp : ramp * share / arrivals;
+    if (!spill || in.packet.hops > 0 || kept >= 1)
+        return std::numeric_limits<double>::infinity();
+    double const draw = static_cast<double>(hash_pair(in.key, ramp_draw_seed)) /
+                        static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+    return draw < kept ? std::numeric_limits<double>::infinity() : 0;
 }
 
 struct zone_choice
@@ -262,14 +274,17 @@
     cluster_entry const* holder{};
 };
 
-// Own zone first, then the others by weight. A zone without a live host may be cut off, so zones
-// with a holder come first.
+// In proportion to what the zones offer, the own zone preferred. A zone without a live host may be
+// cut off, so zones with a holder come first.
 zone_choice choose_zone(decision_input const& in)
 {
     service_id const service = in.packet.service;
     auto const zones = in.table.zones_of(service);
     bool const spill = effective(in.table.config(), setting::spill_to_other_zones, service) != 0;
     bool const at_home = std::find(zones.begin(), zones.end(), in.view.zone()) != zones.end();
+    double total = 0;
+    for (zone_id const zone : zones)
+        total += offered(in, zone);
     zone_choice best;
     double best_score = -1;
     double best_held_score = -1;
@@ -277,7 +292,7 @@
     {
         if (!spill && at_home && zone != in.view.zone())
             continue;
-        double const score = zone_score(in, zone, spill);
+        double const score = zone_score(in, zone, total, spill);
         if (score > best_score)
         {
             best.zone = zone;
--- a/protocol/config_json.cpp
+++ b/protocol/config_json.cpp
@@ -20,7 +20,8 @@
 // JSON numbers are signed 64-bit in most programs.
 constexpr std::uint64_t max_number = std::numeric_limits<std::int64_t>::max();
 
-constexpr std::array<std::string_view, 3> upstream_states{"active", "draining", "retired"};
+constexpr std::array<std::string_view, 4> upstream_states{"active", "draining", "retired",
+                                                          "released"};
 constexpr std::array<std::string_view, 3> zone_states{"in", "out", "returning"};
 constexpr std::array<std::string_view, 2> listed_kinds{"entry", "upstream"};
 constexpr std::array<std::string_view, 2> host_states{"live", "leaving"};
--- a/soak/operators.cpp
+++ b/soak/operators.cpp
@@ -99,6 +99,15 @@
         if (auto const* const u = any_in_state(sim_, c, upstream_state::draining))
             return {set_upstream_state{u->name, upstream_state::retired}};
     }
+    else if (draw < 52)
+    {
+        auto const* const u = any_in_state(sim_, c, upstream_state::retired);
+        bool const used =
+            u != nullptr && std::any_of(w_.callers.begin(), w_.callers.end(),
+                                        [u](auto const& x) { return x->uses(u->address); });
+        if (u != nullptr && !used)
+            return {set_upstream_state{u->name, upstream_state::released}};
+    }
     else if (draw < 60)
         reuse_address(c);
     else if (draw < 85)
@@ -125,11 +134,12 @@
     return {};
 }
 
-// Gives the address of a retired upstream to another, most often of another service. Operators stop
-// the old server when its flows have ended, and start the new one when the change is accepted.
+// Gives the address of a released upstream to another, most often of another service. Operators
+// release it when its flows have ended, then stop the old server and start the new one when the
+// change is accepted.
 void chaos::reuse_address(fleet_config const& c)
 {
-    auto const* const u = any_in_state(sim_, c, upstream_state::retired);
+    auto const* const u = any_in_state(sim_, c, upstream_state::released);
     if (u == nullptr || reusing_)
         return;
     bool const taken =
--- a/state/config.hpp
+++ b/state/config.hpp
@@ -21,7 +21,8 @@
 {
     active,
     draining, // no new work, keeps its flows
-    retired   // removed by operators; only flows that were opened before still reach it
+    retired,  // removed by operators; only flows that were opened before still reach it
+    released  // gets no packet at all, so that its address may go to another service
 };
 
 enum class zone_state : std::uint8_t
--- a/state/table.cpp
+++ b/state/table.cpp
@@ -27,7 +27,7 @@
     for (upstream_config const& u : config_.upstreams)
     {
         upstreams_.emplace(u.id, &u);
-        if (u.state != upstream_state::retired)
+        if (u.state < upstream_state::retired)
             owners_.emplace(u.address.packed(), &u);
         pools_[{u.service, u.zone}].push_back(&u);
         auto& zones = service_zones_[u.service];
@@ -44,6 +44,13 @@
         entries_.emplace(host_id{static_cast<std::uint16_t>(h.id)}, &h);
         zone_hosts_[h.zone].push_back(&h);
     }
+    for (upstream_config const& u : config_.upstreams)
+    {
+        if (!takes_new_work(u))
+            continue;
+        auto const weight = effective(config_, setting::weight, u.service, u.zone, u.id);
+        capacities_[{u.service, u.zone}] += static_cast<double>(u.slots * weight);
+    }
 }
 
 upstream_config const* routing_table::find(upstream_id id) const
@@ -87,6 +94,12 @@
     return it->second;
 }
 
+double routing_table::capacity(pool_id id) const
+{
+    auto const it = capacities_.find(id);
+    return it == capacities_.end() ? 0 : it->second;
+}
+
 std::span<zone_id const> routing_table::zones_of(service_id id) const
 {
     auto const it = service_zones_.find(id);
--- a/state/table.hpp
+++ b/state/table.hpp
@@ -43,6 +43,8 @@
     std::span<zone_id const> zones_of(service_id id) const;
     // Entry hosts listed for the zone, live and leaving.
     std::span<listed_host const* const> zone_hosts(zone_id id) const;
+    // Slots of the pool's upstreams that take new work, times their weights; 0 if none does.
+    double capacity(pool_id id) const;
     // An upstream takes new work if configuration and list both say so.
     bool takes_new_work(upstream_config const& u) const;
 
@@ -61,6 +63,7 @@
     index<host_id, listed_host const*> entries_;
     index<upstream_id, host_state> listed_upstreams_;
     index<pool_id, std::vector<upstream_config const*>> pools_;
+    index<pool_id, double> capacities_;
     index<service_id, std::vector<zone_id>> service_zones_;
     index<zone_id, std::vector<listed_host const*>> zone_hosts_;
 };
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -81,15 +81,23 @@
 }
 
 // Guards against packets of one service that reach another at a reused address.
-TEST_CASE("an address goes to another service only after the removal is in force everywhere")
+TEST_CASE("an address goes to another service only after its release is in force everywhere")
 {
     auto const retired = after(start(), {set_upstream_state{"u1", upstream_state::retired}});
     REQUIRE(retired);
     REQUIRE(retired->upstreams.size() == 2);
     CHECK(retired->upstreams[0].retired_at == revision{2});
     put_upstream const reuse{upstream(5, 2, "127.0.1.1:9000")};
-    CHECK_FALSE(after(*retired, {reuse}, revision{1}));
-    auto const reused = after(*retired, {reuse}, revision{2});
+    // Hosts between the two revisions would send the retired upstream's flows to the new service.
+    CHECK_FALSE(after(*retired, {reuse}, all_in_force));
+    CHECK_FALSE(after(start(), {set_upstream_state{"u1", upstream_state::released}}));
+    auto const released = after(*retired, {set_upstream_state{"u1", upstream_state::released}});
+    REQUIRE(released);
+    CHECK(released->upstreams[0].retired_at == revision{3});
+    CHECK_FALSE(after(*released, {set_upstream_state{"u1", upstream_state::active}}));
+    CHECK_FALSE(after(*released, {set_upstream_state{"u1", upstream_state::retired}}));
+    CHECK_FALSE(after(*released, {reuse}, revision{2}));
+    auto const reused = after(*released, {reuse}, revision{3});
     REQUIRE(reused);
     REQUIRE(reused->upstreams.size() == 2);
     CHECK(reused->upstreams[1].owner == incarnation{2});
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -2,6 +2,7 @@
 #include "coordination/coordination.hpp"
 
 #include <catch2/catch.hpp>
+#include <map>
 #include <random>
 
 using namespace chivelever;
@@ -304,6 +305,10 @@
         u.state = upstream_state::retired;
         f.config.upstreams[3].address = u.address;
     }
+    SECTION("released")
+    {
+        u.state = upstream_state::released;
+    }
     SECTION("zone out")
     {
         f.config.zones[0].state = zone_state::out;
@@ -438,3 +443,57 @@
                 REQUIRE(got->who == expected->who);
         }
 }
+
+// Guards against overloaded upstreams in zones that have few of them.
+TEST_CASE("opens are spread over zones in proportion to their slots")
+{
+    fleet_config config = empty_config();
+    config.rev = {1};
+    config.services = {{desk, "desk"}};
+    host_list hosts;
+    std::vector<cluster_entry> entries;
+    // Upstreams of equal weight: 2, 1 and 1 in three zones of three hosts each.
+    for (std::uint8_t z = 1; z <= 3; ++z)
+    {
+        config.zones.push_back({{z}, "zone" + std::to_string(z)});
+        for (int h = 0; h < 3; ++h)
+            entries.push_back({{{static_cast<std::uint16_t>(10 * z + h)}, {1}},
+                               {z},
+                               host_state::live,
+                               true,
+                               host_endpoint(10 * z + h)});
+    }
+    for (std::uint32_t i = 0; i < 4; ++i)
+    {
+        upstream_config u;
+        u.id = {i + 1};
+        u.service = desk;
+        u.zone = {static_cast<std::uint8_t>(i < 2 ? 1 : i)};
+        u.address = upstream_endpoint(static_cast<int>(i) + 1);
+        u.slots = 3;
+        u.connections = 2000;
+        config.upstreams.push_back(u);
+    }
+    routing_table const table(config, hosts, secret);
+    std::map<zone_id, double> opens;
+    constexpr int per_host = 1000;
+    for (cluster_entry const& at : entries)
+    {
+        cluster_view const view(at.who, at.zone, entries);
+        for (std::uint64_t key = 0; key < per_host; ++key)
+        {
+            packet_view p = open_packet(flow_kind::stream);
+            auto const r = router{}.decide(p, caller, table, view, zone_ramp{},
+                                           hash_pair(key, at.who.host.value), time_point{});
+            zone_id zone = at.zone;
+            for (cluster_entry const& e : entries)
+                if (r.verb == route_verb::to_host && e.packet == r.to)
+                    zone = e.zone;
+            ++opens[zone];
+        }
+    }
+    double const mean = static_cast<double>(entries.size() * per_host) / 4;
+    CHECK(opens[{1}] / 2 / mean < 1.05);
+    CHECK(opens[{2}] / mean < 1.05);
+    CHECK(opens[{3}] / mean < 1.05);
+}
