--- a/bench/scale/fleet.cpp
+++ b/bench/scale/fleet.cpp
@@ -434,7 +434,7 @@
     if (restart_interval_ > duration{} && now_ >= next_restart_)
     {
         begin_restart();
-        next_restart_ = std::max(next_restart_ + restart_interval_, now_);
+        next_restart_ += restart_interval_;
     }
     std::size_t held = 0;
     for (auto const& n : nodes_)
--- a/bench/scale/fleet.hpp
+++ b/bench/scale/fleet.hpp
@@ -70,7 +70,11 @@
     std::vector<double> crash(std::size_t index, bool same_zone, duration limit);
     void start(std::size_t index);
     // Drains and restarts the hosts in turn at this interval from now on; zero stops it.
-    void restart_every(duration interval) { restart_interval_ = interval; }
+    void restart_every(duration interval)
+    {
+        restart_interval_ = interval;
+        next_restart_ = now_ + interval / 2;
+    }
 
     std::size_t nodes() const { return nodes_.size(); }
     std::size_t running() const;
--- a/bench/scale/main.cpp
+++ b/bench/scale/main.cpp
@@ -121,7 +121,7 @@
     int changes = 10;
     int restarts = 0;
     int period_ms = 500;
-    int renewal_ms = 900;
+    int renewal_ms = 1200;
     double interval = 129;
     po::options_description d("bench_scale");
     // clang-format off
--- a/coordination/pool_lease.hpp
+++ b/coordination/pool_lease.hpp
@@ -24,9 +24,9 @@
     // Holders give up this much earlier: granters remember ttl + 10%, and two clocks that are 5%
     // off in opposite directions differ by 10.5%.
     duration holder_margin = std::chrono::milliseconds(20);
-    // A lease is renewed at this age. The three retries that fit before its end are as many as with
-    // a renewal every 500 ms, at half the traffic.
-    duration renewal = std::chrono::milliseconds(900);
+    // A lease is renewed at this age, which leaves time for two retries. A renewal every 500 ms
+    // costs 2.4 times the traffic.
+    duration renewal = std::chrono::milliseconds(1200);
     duration retry = std::chrono::milliseconds(300); // and the period of asking for a pool
     duration list_skew = std::chrono::seconds(10); // longest time a list takes to reach every host
 
--- /dev/null
+++ b/tests/scale_test.cpp
@@ -0,0 +1,53 @@
+// Bounds of what the control plane sends, in counts that are the same on every machine.
+#include "bench/scale/fleet.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace chivelever;
+using namespace chivelever::scale;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+struct rates
+{
+    spread bytes;    // sent and received, a second
+    spread messages; // sent, a second
+};
+
+rates steady(std::size_t nodes, std::size_t zones, std::size_t pools, duration time)
+{
+    fleet f({nodes, zones, pools});
+    f.run_for(30s);
+    f.reset_counters();
+    f.run_for(time);
+    CHECK(f.pools_held() > 0.999);
+    CHECK(f.false_suspicions() == 0);
+    std::vector<double> bytes;
+    std::vector<double> messages;
+    double const seconds = std::chrono::duration<double>(time).count();
+    for (node_counts const& c : f.counts())
+    {
+        bytes.push_back(static_cast<double>(c.bytes_sent + c.bytes_received) / seconds);
+        messages.push_back(static_cast<double>(c.messages_sent) / seconds);
+    }
+    auto const change = spread::of(f.change());
+    CHECK(change.max < 10);
+    CHECK(change.max > 0);
+    return {spread::of(bytes), spread::of(messages)};
+}
+
+} // namespace
+
+// Guards against control traffic that grows past its budget of 7 KB a second.
+TEST_CASE("control traffic of 9 and 60 hosts stays within its bounds")
+{
+    rates const nine = steady(9, 3, 47, 20s);
+    CHECK(nine.bytes.max < 1'800);
+    CHECK(nine.messages.max < 10);
+    rates const sixty = steady(60, 1, 314, 10s);
+    CHECK(sixty.bytes.mean < 4'300);
+    CHECK(sixty.bytes.max < 5'500);
+    CHECK(sixty.messages.max < 25);
+}
