--- a/bench/scale/fleet.cpp
+++ b/bench/scale/fleet.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <functional>
 #include <numeric>
 
@@ -82,7 +83,7 @@
         return {};
     std::sort(v.begin(), v.end());
     auto const quantile = [&v](double q)
-    { return v[static_cast<std::size_t>(q * static_cast<double>(v.size() - 1) + 0.5)]; };
+    { return v[static_cast<std::size_t>(std::lround(q * static_cast<double>(v.size() - 1)))]; };
     double const sum = std::accumulate(v.begin(), v.end(), 0.0);
     return {sum / static_cast<double>(v.size()), quantile(0.5), quantile(0.99), v.back()};
 }
--- a/bench/scale/main.cpp
+++ b/bench/scale/main.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/program_options.hpp>
 
+#include <cmath>
 #include <cstdio>
 #include <iostream>
 #include <malloc.h>
@@ -159,9 +160,10 @@
         return 0;
     }
     o.zones = given.count("zones") != 0 ? given["zones"].as<std::size_t>() : default_zones(o.nodes);
-    o.pools = given.count("pools") != 0
-                  ? given["pools"].as<std::size_t>()
-                  : static_cast<std::size_t>(static_cast<double>(o.nodes) * pools_per_host + 0.5);
+    o.pools =
+        given.count("pools") != 0
+            ? given["pools"].as<std::size_t>()
+            : static_cast<std::size_t>(std::lround(static_cast<double>(o.nodes) * pools_per_host));
     o.member.period = std::chrono::milliseconds(period_ms);
     o.lease.renewal = std::chrono::milliseconds(renewal_ms);
     measure(o, steady, changes, interval, restarts);
