--- a/coordination/cluster_view.cpp
+++ b/coordination/cluster_view.cpp
@@ -1,5 +1,7 @@
 #include "coordination/cluster_view.hpp"
 
+#include "coordination/pool_lease.hpp"
+
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -71,22 +73,15 @@
     return found;
 }
 
+// Ranks as the leases do; another ranking would send opens to a host that never gets the lease.
 cluster_entry const* cluster_view::find_holder(pool_id pool) const
 {
-    cluster_entry const* best = nullptr;
-    std::uint64_t best_score = 0;
+    std::vector<host_id> candidates;
     for (cluster_entry const& e : zone_hosts(pool.zone))
-    {
-        if (!e.alive || e.state == host_state::leaving)
-            continue;
-        std::uint64_t const score = hash_pair(pool.packed(), e.who.host.value);
-        if (best == nullptr || score > best_score)
-        {
-            best = &e;
-            best_score = score;
-        }
-    }
-    return best;
+        if (e.alive && e.settled && e.state != host_state::leaving)
+            candidates.push_back(e.who.host);
+    auto const best = preferred_holder(pool, candidates);
+    return best ? find(*best) : nullptr;
 }
 
 } // namespace chivelever
--- a/daemon/control_plane.cpp
+++ b/daemon/control_plane.cpp
@@ -152,8 +152,15 @@
     membership_.tick(now, beats);
     send_heartbeats(beats);
     granter_.list_settled(membership_.settled_list());
-    if (membership_.version() != view_version_)
+    std::set<host_id> settled;
+    for (zone_config const& z : shared_.table.get()->config().zones)
+        for (host_id const h : membership_.settled_hosts(z.id, now))
+            settled.insert(h);
+    if (membership_.version() != view_version_ || settled != settled_)
+    {
+        settled_ = std::move(settled);
         publish_view();
+    }
     holder_.set_candidates(membership_.settled_hosts(shared_.settings.zone, now));
     outgoing_leases leases;
     holder_.tick(now, leases);
@@ -167,7 +174,8 @@
     view_version_ = membership_.version();
     std::vector<cluster_entry> entries;
     for (member const& m : membership_.members())
-        entries.push_back({m.who, m.zone, m.state, m.alive, packet_of(m.who.host)});
+        entries.push_back({m.who, m.zone, m.state, m.alive, packet_of(m.who.host),
+                           settled_.contains(m.who.host)});
     shared_.view.set(std::make_shared<cluster_view const>(shared_.self, shared_.settings.zone,
                                                           std::move(entries)));
 }
--- a/daemon/control_plane.hpp
+++ b/daemon/control_plane.hpp
@@ -71,6 +71,7 @@
     lease_granter granter_;
     lease_holder holder_;
     std::uint64_t view_version_{~std::uint64_t{0}};
+    std::set<host_id> settled_; // hosts that may hold pools
     std::set<pool_id> leased_;
     std::set<pool_id> handing_over_;
 };
