--- a/scripts/fleet_run.py
+++ b/scripts/fleet_run.py
@@ -46,11 +46,11 @@
             if time.monotonic() > end:
                 raise RuntimeError(f"no service within {START_LIMIT_S} s of readiness: {trial.last}")
 
-    def load(self, name, requests, rate, streams, uploads, seed, at_least=0):
+    def load(self, name, requests, rate, streams, uploads, seed, at_least=0, extra=()):
         load = Load(name, self.directory, fleet.caller_command(
             self.deployment, "--requests", str(requests), "--rate", str(rate), "--streams", str(streams), "--request-flows", "48",
             "--uploads", str(uploads), "--seed", str(seed), "--duration", str(at_least),
-            "--report", os.path.join(self.directory, f"{name}.json"), "--max-seconds", "80"))
+            "--report", os.path.join(self.directory, f"{name}.json"), "--max-seconds", "80", *extra))
         self.loads.append(load)
         return load
 
