--- a/coordination/cluster_view.hpp
+++ b/coordination/cluster_view.hpp
@@ -21,7 +21,7 @@
     zone_id zone;
     host_state state{host_state::live};
     bool alive{true};
-    endpoint packet; // where it receives packets
+    endpoint packet;    // where it receives packets
     bool settled{true}; // alive for long enough to hold pools (membership::settled_hosts)
     auto operator<=>(cluster_entry const&) const = default;
 };
@@ -43,7 +43,8 @@
     // Hosts of the zone that are alive and not leaving: the fabric hands packets to these.
     std::size_t live_hosts(zone_id id) const { return live_[id.value]; }
     // The host that admits to the pool: the first of the pool's zone by rendezvous hashing that is
-    // settled and not leaving, by the same ranking as the leases. Nothing exclusive depends on it; exclusivity comes from the lease.
+    // settled and not leaving, by the same ranking as the leases. Nothing exclusive depends on it;
+    // exclusivity comes from the lease.
     cluster_entry const* holder(pool_id pool) const;
 
 private:
--- a/daemon/control_plane.cpp
+++ b/daemon/control_plane.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <csignal>
+#include <unistd.h>
 
 namespace chivelever
 {
@@ -152,6 +154,14 @@
     membership_.tick(now, beats);
     send_heartbeats(beats);
     granter_.list_settled(membership_.settled_list());
+    if (auto const run = membership_.newer_run(); run && !shared_.leaving)
+    {
+        // The clock was set back: the other hosts take this run for an old one.
+        log::error("host.outdated", {{"known_incarnation", std::to_string(run->value)},
+                                     {"note", "start again once the clock has passed it"}});
+        ::kill(::getpid(), SIGTERM);
+        shared_.leaving = true;
+    }
     std::set<host_id> settled;
     for (zone_config const& z : shared_.table.get()->config().zones)
         for (host_id const h : membership_.settled_hosts(z.id, now))
--- a/soak/host.cpp
+++ b/soak/host.cpp
@@ -2,6 +2,7 @@
 
 #include "world.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace chivelever::soak
@@ -214,8 +215,15 @@
     membership_.tick(now, beats);
     send(beats);
     granter_.list_settled(membership_.settled_list());
-    if (membership_.version() != view_version_)
+    std::vector<host_id> settled;
+    for (zone_config const& z : log_.current()->zones)
+        for (host_id const h : membership_.settled_hosts(z.id, now))
+            settled.push_back(h);
+    if (membership_.version() != view_version_ || settled != settled_)
+    {
+        settled_ = std::move(settled);
         publish_view();
+    }
     holder_.set_candidates(membership_.settled_hosts(zone, now));
     outgoing_leases leases;
     holder_.tick(now, leases);
@@ -267,7 +275,9 @@
     view_version_ = membership_.version();
     std::vector<cluster_entry> entries;
     for (member const& m : membership_.members())
-        entries.push_back({m.who, m.zone, m.state, m.alive, host_address(m.who.host)});
+        entries.push_back(
+            {m.who, m.zone, m.state, m.alive, host_address(m.who.host),
+             std::find(settled_.begin(), settled_.end(), m.who.host) != settled_.end()});
     view_ = std::make_shared<cluster_view const>(self, zone, std::move(entries));
 }
 
--- a/soak/host.hpp
+++ b/soak/host.hpp
@@ -111,6 +111,7 @@
     lease_granter granter_;
     lease_holder holder_;
     std::uint64_t view_version_{};
+    std::vector<host_id> settled_; // hosts that may hold pools
     std::map<pool_id, std::unique_ptr<pool>> pools_;
     std::set<pool_id> leased_;
     std::set<pool_id> handing_over_;
