--- a/soak/chaos.cpp
+++ b/soak/chaos.cpp
@@ -46,12 +46,12 @@
                   std::uint32_t callers_per_service)
 {
     constexpr std::uint32_t hosts = 9;
-    zones_ = static_cast<std::uint32_t>(2 + sim_.below(3));
+    zones_ = static_cast<std::uint8_t>(2 + sim_.below(3));
     drift_seed_ = sim_.chance(0.2);
     w_.check_load = !drift_seed_;
     std::int64_t const drift = drift_seed_ ? wild_drift : usual_drift;
     config_change first{{1}, change_id(), "ana", "first", 1'700'000'000'000, {}};
-    for (std::uint32_t z = 1; z <= zones_; ++z)
+    for (std::uint8_t z = 1; z <= zones_; ++z)
         first.operations.push_back(
             put_zone{{{static_cast<std::uint8_t>(z)}, "z" + std::to_string(z)}});
     for (std::uint32_t s = 1; s <= services; ++s)
--- a/soak/chaos.hpp
+++ b/soak/chaos.hpp
@@ -53,7 +53,7 @@
 
     world& w_;
     simulation& sim_;
-    std::uint32_t zones_{};
+    std::uint8_t zones_{};
     bool drift_seed_{};
     std::vector<std::uint32_t> runs_; // latest incarnation, by host
     std::vector<std::int64_t> rates_; // ppm, by host
