Hear relisted hosts again; tell callers when their executor leaves

Change: a relisted run is revived by progress that goes on for a period; no word of a settled list before a peer has spoken; a leaving executor sends given_up for its open request flows; a host without successor stops without waiting for one.

--- a/coordination/membership.cpp
+++ b/coordination/membership.cpp
@@ -42,9 +42,9 @@
     return const_cast<member*>(find(id));
 }
 
-// Rebuilds the records from the list and keeps what is known of hosts that stay. The run of a host
-// that leaves the list is kept, so that its late heartbeats cannot revive it when it is listed
-// again.
+// Rebuilds the records from the list and keeps what is known of hosts that stay. The run and
+// counter of a host that leaves the list are kept, so that its late heartbeats cannot revive it
+// when it is listed again.
 void membership::update(host_list const& list, time_point now)
 {
     if (listed_once_ && list.version <= list_version_)
@@ -65,6 +65,15 @@
             m.last_progress = m.news = now;
             m.alive = !listed_once_ && l.state == host_state::live;
             m.alive_since = m.alive ? now - settings_.settle : now;
+            // A host may be taken off the list and listed again while it runs. Its late heartbeats
+            // prove nothing, so only progress that goes on for a period revives it.
+            if (auto const r = removed_.find(id); r != removed_.end())
+            {
+                m.relisted = true;
+                m.who.run = r->second.who.run;
+                m.counter = r->second.counter;
+                m.state = r->second.state;
+            }
         }
         if (id == self_.host && m.who.run != self_.run)
         {
@@ -89,7 +98,7 @@
     members_.swap(next);
     for (member const& m : next)
         if (m.who.run.value != 0 && find(m.who.host) == nullptr)
-            removed_[m.who.host] = m.who.run;
+            removed_[m.who.host] = {m.who, m.counter, m.state};
     local_.clear();
     remote_.clear();
     largest_zone_ = 0;
@@ -286,8 +295,6 @@
     member* m = record(e.who.host);
     if (m == nullptr || e.who.run < m->who.run)
         return;
-    if (auto const r = removed_.find(e.who.host); r != removed_.end() && e.who.run <= r->second)
-        return;
     if (e.suspected)
     {
         accept_suspicion(*m, e, now);
@@ -296,6 +303,7 @@
     bool const new_run = e.who.run > m->who.run;
     if (new_run)
     {
+        m->relisted = false;
         bool const first_news = m->who.run.value == 0 && m->alive; // keeps its grace at start
         m->who.run = e.who.run;
         m->counter = e.counter;
@@ -306,7 +314,11 @@
         ++version_;
     }
     else if (e.counter > m->counter)
+    {
         m->counter = e.counter;
+        if (m->relisted && !proves_running(*m, now))
+            return;
+    }
     else if (e.state != host_state::leaving || m->state == host_state::leaving)
         return;
     m->last_progress = now;
@@ -320,6 +332,17 @@
     set_alive(*m, true, now);
 }
 
+// Whether a host that was listed again has made progress twice, a period apart.
+bool membership::proves_running(member& m, time_point now) const
+{
+    if (!m.relisted_progress)
+        m.relisted_progress = now;
+    if (now - *m.relisted_progress < settings_.period)
+        return false;
+    m.relisted = false;
+    return true;
+}
+
 // A host of another zone is suspected by the word of its own zone, unless later progress is known.
 // About hosts of the own zone this host judges for itself.
 void membership::accept_suspicion(member& m, heartbeat_entry const& e, time_point now)
--- a/coordination/membership.hpp
+++ b/coordination/membership.hpp
@@ -54,6 +54,8 @@
     revision config;          // latest heard from the host itself
     std::uint64_t list_version{};
     host_state listed_state{};
+    bool relisted{}; // listed again with a run known from before; not yet proved to be running
+    std::optional<time_point> relisted_progress;
     endpoint packet;
     auto operator<=>(member const&) const = default;
 };
@@ -112,6 +114,7 @@
     member* record(host_id id);
     void learn(heartbeat_entry const& e, time_point now);
     void learn_about_self(heartbeat_entry const& e);
+    bool proves_running(member& m, time_point now) const;
     bool list_is_settled(time_point now) const;
     void judge(time_point now);
     void set_alive(member& m, bool alive, time_point now);
@@ -131,8 +134,8 @@
     membership_settings settings_;
     std::mt19937_64 random_;
     std::vector<member> members_;
-    std::unordered_map<host_id, incarnation> removed_; // highest run of hosts no longer listed
-    std::vector<host_id> local_;                       // peers of the own zone, in rotating order
+    std::unordered_map<host_id, heartbeat_entry> removed_; // latest of hosts no longer listed
+    std::vector<host_id> local_; // peers of the own zone, in rotating order
     std::size_t local_next_{};
     std::vector<std::vector<host_id>> remote_; // peers of each other zone
     std::size_t remote_next_{};
--- a/coordination/pool.cpp
+++ b/coordination/pool.cpp
@@ -157,10 +157,33 @@
     issued_ = issue(p.flow, chosen, now);
     if (p.request.value != 0 && recent_opens_.size() < max_recent_opens)
         recent_opens_.insert_or_assign(repeat_key, recent_open{issued_, now});
+    if (p.flow == flow_kind::request)
+    {
+        while (!request_flows_.empty() && request_flows_.front().expires <= now)
+            request_flows_.pop_front();
+        request_flows_.push_back({last_expiry_, p.caller, issued_});
+    }
     ++stats_.opened;
     send_opened(p, issued_, out);
 }
 
+void pool::notify_callers(time_point now, std::vector<send_packet>& out)
+{
+    for (issued_request_flow const& f : request_flows_)
+    {
+        if (f.expires <= now)
+            continue;
+        packet_view p;
+        p.kind = packet_kind::given_up;
+        p.flow = flow_kind::request;
+        p.status = packet_status::not_run_moved;
+        p.service = id_.service;
+        p.caller = f.caller;
+        p.flow_id = as_view(f.id);
+        out.push_back({f.caller, p});
+    }
+}
+
 void pool::send_opened(packet_view const& p, encoded_flow_id const& id,
                        std::vector<send_packet>& out)
 {
--- a/coordination/pool.hpp
+++ b/coordination/pool.hpp
@@ -83,6 +83,10 @@
     // Refuses new flows and requests; those that are queued or running still finish.
     void begin_shutdown() { shutting_down_ = true; }
 
+    // Tells the callers of the request flows issued here to open others, before this host stops.
+    // Without this, a caller learns of it from an outcome_unknown.
+    void notify_callers(time_point now, std::vector<send_packet>& out);
+
     // No request is queued or in progress.
     bool idle() const { return queue_.empty() && attempts_.empty(); }
     // Idle, and every request flow id that was issued here has expired. A pool may be destroyed
@@ -145,6 +149,12 @@
         std::uint32_t upstream{};
         time_point opened;
     };
+    struct issued_request_flow
+    {
+        time_point expires;
+        endpoint caller;
+        encoded_flow_id id{};
+    };
     struct recent_open
     {
         encoded_flow_id id{};
@@ -219,6 +229,7 @@
     std::vector<upstream> upstreams_; // an index stays in use while attempts or flows name it
     std::unordered_map<std::uint32_t, counted_flow> flows_; // by serial number
     std::unordered_map<std::uint64_t, recent_open> recent_opens_;
+    std::deque<issued_request_flow> request_flows_; // in order of issue, expired ones dropped
     climb_guard climb_;
     ledger ledger_;
     retry_budget budget_;
--- a/daemon/control_plane.cpp
+++ b/daemon/control_plane.cpp
@@ -153,7 +153,11 @@
     outgoing_heartbeats beats;
     membership_.tick(now, beats);
     send_heartbeats(beats);
-    granter_.list_settled(membership_.settled_list());
+    // Before a peer has spoken there is no word of the list's age. The list of a single host cannot
+    // be newer than that of others.
+    bool const alone = shared_.settings.in_process;
+    if (std::uint64_t const settled = membership_.settled_list(); settled > 0 || alone)
+        granter_.list_settled(alone ? shared_.table.get()->hosts().version : settled);
     if (auto const run = membership_.newer_run(); run && !shared_.leaving)
     {
         // The clock was set back: the other hosts take this run for an old one.
@@ -282,6 +286,14 @@
     return membership_.is_watcher();
 }
 
+bool control_plane::has_successor()
+{
+    std::lock_guard const lock(mutex_);
+    auto const hosts = membership_.settled_hosts(shared_.settings.zone, monotonic_now());
+    return std::any_of(hosts.begin(), hosts.end(),
+                       [this](host_id h) { return h != shared_.self.host; });
+}
+
 std::vector<member> control_plane::members()
 {
     std::lock_guard const lock(mutex_);
--- a/daemon/control_plane.hpp
+++ b/daemon/control_plane.hpp
@@ -37,6 +37,8 @@
     // Where a host with a newer configuration, else a newer host list, answers calls.
     std::optional<endpoint> newer_peer();
     bool is_watcher();
+    // Whether another host of the zone can take pools over.
+    bool has_successor();
     std::vector<member> members();
     std::vector<pool_id> held(time_point now);
     // For the time line, for example pool/order_desk@akl.
--- a/daemon/node.cpp
+++ b/daemon/node.cpp
@@ -94,9 +94,11 @@
     std::this_thread::sleep_for(notice_time);
     packets_.begin_shutdown();
     auto const until = std::chrono::steady_clock::now() + drain_limit;
-    while (std::chrono::steady_clock::now() < until &&
-           !(packets_.idle() && control_.held(monotonic_now()).empty()))
+    while (
+        std::chrono::steady_clock::now() < until &&
+        !(packets_.idle() && (control_.held(monotonic_now()).empty() || !control_.has_successor())))
         std::this_thread::sleep_for(drain_poll);
+    packets_.notify_callers(monotonic_now());
     std::this_thread::sleep_for(linger);
     pool_stats const totals = packets_.totals();
     log::info("host.stopped", {{"outstanding", std::to_string(totals.outstanding)},
--- a/daemon/packet_plane.cpp
+++ b/daemon/packet_plane.cpp
@@ -288,6 +288,21 @@
         });
 }
 
+void packet_plane::notify_callers(time_point now)
+{
+    worker w(shared_);
+    pools_.for_each(
+        [&](pool_map& map)
+        {
+            for (auto& [id, p] : map)
+            {
+                w.out.clear();
+                p->notify_callers(now, w.out);
+                send_all(w);
+            }
+        });
+}
+
 bool packet_plane::idle()
 {
     bool idle = true;
--- a/daemon/packet_plane.hpp
+++ b/daemon/packet_plane.hpp
@@ -35,6 +35,8 @@
     // Ends dispatching in the pool and returns what is outstanding.
     pool_handover hand_over(pool_id pool, time_point now);
     void begin_shutdown();
+    // Tells callers to open their request flows elsewhere.
+    void notify_callers(time_point now);
     bool idle();
     pool_stats totals();
     // Figures of each pool that exists here.
--- a/standins/common_requests.cpp
+++ b/standins/common_requests.cpp
@@ -78,12 +78,24 @@
                        ++usable_flows_;
                    else
                        port_.close(flow.socket, flow.service, flow_kind::request, flow.id);
+                   port_.forget_flow(flow.id);
                    flow.id = id;
+                   port_.on_flow(id, [this, index, id](packet_view const& p)
+                                 { on_flow_packet(index, id, p); });
                    flow.opened_at = steady::now();
                    ++counts_["flows_opened"];
                });
 }
 
+// A leaving executor tells its callers to open another flow.
+void request_load::on_flow_packet(std::size_t index, std::string const& id, packet_view const& p)
+{
+    if (p.kind != packet_kind::given_up)
+        return;
+    ++counts_["flows_moved"];
+    renew_flow(index, id);
+}
+
 // After the flow with this id was found unusable.
 void request_load::renew_flow(std::size_t index, std::string const& old_id)
 {
--- a/standins/common_requests.hpp
+++ b/standins/common_requests.hpp
@@ -63,6 +63,7 @@
     using request_ptr = std::shared_ptr<request>;
 
     void open_flow(std::size_t index);
+    void on_flow_packet(std::size_t index, std::string const& id, packet_view const& p);
     void renew_flow(std::size_t index, std::string const& old_id);
     void tick();
     void start_request();
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -180,3 +180,36 @@
     CHECK(a.watchers() != first);
     CHECK(a.watchers().size() == 2);
 }
+
+// Guards against a running host that stays unheard after it was off the list for a while.
+TEST_CASE("a host that is listed again while it runs is heard again")
+{
+    host_list both;
+    both.version = 1;
+    both.hosts = {{listed_kind::entry, 1, {1}, host_state::live, {}, {}, {}},
+                  {listed_kind::entry, 2, {1}, host_state::live, {}, {}, {}}};
+    host_list one = both;
+    one.version = 2;
+    one.hosts.pop_back();
+    membership m({{1}, {100}}, {1}, 1);
+    auto const at = [](int s) { return time_point(std::chrono::seconds(s)); };
+    auto const beat = [](std::uint32_t counter)
+    {
+        heartbeat h;
+        h.sender = {{{2}, {50}}, counter, host_state::live};
+        h.zone = {1};
+        return h;
+    };
+    m.update(both, at(0));
+    m.on_heartbeat(beat(10), at(1));
+    m.update(one, at(2));
+    both.version = 3;
+    m.update(both, at(3));
+    m.on_heartbeat(beat(10), at(4)); // late: no progress beyond what was known
+    CHECK_FALSE(m.find({2})->alive);
+    m.on_heartbeat(beat(11), at(5)); // may be a late one that was not seen before
+    CHECK_FALSE(m.find({2})->alive);
+    m.on_heartbeat(beat(12), at(6));
+    CHECK(m.find({2})->alive);
+    CHECK(m.find({2})->who.run == incarnation{50});
+}
--- a/tests/pool_test.cpp
+++ b/tests/pool_test.cpp
@@ -307,6 +307,35 @@
     CHECK(f.status(12) == packet_status::ok);
 }
 
+// Guards against callers that learn of a planned restart from an outcome_unknown.
+TEST_CASE("callers of open request flows are told when their executor leaves")
+{
+    fixture f;
+    packet_view p;
+    p.kind = packet_kind::open;
+    p.flow = flow_kind::request;
+    p.service = {1};
+    p.request = {77};
+    p.caller = {0x7f000009, 5555};
+    std::vector<send_packet> out;
+    f.p.on_open(p, f.now, out);
+    REQUIRE(out.size() == 1);
+    std::string const id(out[0].packet.flow_id);
+    out.clear();
+    f.p.notify_callers(f.now, out);
+    auto const told = std::count_if(out.begin(), out.end(),
+                                    [&](send_packet const& s)
+                                    {
+                                        return s.to == p.caller && s.packet.flow_id == id &&
+                                               s.packet.kind == packet_kind::given_up &&
+                                               s.packet.status == packet_status::not_run_moved;
+                                    });
+    CHECK(told == 1);
+    out.clear();
+    f.p.notify_callers(f.now + std::chrono::hours(1), out);
+    CHECK(out.empty());
+}
+
 TEST_CASE("a cancel removes a queued request, reaches a running one and precedes a late one")
 {
     fixture f(1);
