--- a/scripts/fleet_run.py
+++ b/scripts/fleet_run.py
@@ -1,7 +1,6 @@
 """A run of a deployment under load: start, loads of the caller stand-in and their results. Used by
 scripts/demo and scripts/moves."""
 
-import json
 import os
 import re
 import shutil
