Serve only after catching up, and name the winner to the loser of a race

Cause: a restarting host was ready with an older revision; 2 of 20 raced pairs got 'try again', since the host had heard of the winner and not pulled it; a pull from a frozen host waited 1.5 s of the 3 s that a zone move may take.

--- a/daemon/operations.cpp
+++ b/daemon/operations.cpp
@@ -77,12 +77,20 @@
     return b;
 }
 
-// The fabric hands packets to ready hosts only: not before the first configuration, not while this
-// host is leaving, and not while operators have its zone out.
-bool operations::ready() const
+// The fabric hands packets to ready hosts only: not before this host has caught up with the newest
+// revision that it has heard of (an older one may name a zone that is out), not while it is
+// leaving, and not while operators have its zone out.
+bool operations::ready()
 {
     table_ptr const table = shared_.table.get();
-    return table->rev().value > 0 && !shared_.leaving && !table->zone_is_out(shared_.settings.zone);
+    if (!caught_up_)
+    {
+        auto const members = control_.members();
+        bool const behind = std::any_of(members.begin(), members.end(),
+                                        [&](member const& m) { return m.config > table->rev(); });
+        caught_up_ = table->rev().value > 0 && !behind;
+    }
+    return caught_up_ && !shared_.leaving && !table->zone_is_out(shared_.settings.zone);
 }
 
 host_status operations::status()
@@ -247,6 +255,7 @@
                            return p;
                        }));
     std::vector<host_progress> all;
+    all.reserve(asked.size());
     for (auto& f : asked)
         all.push_back(f.get());
     return all;
--- a/daemon/operations.hpp
+++ b/daemon/operations.hpp
@@ -5,6 +5,7 @@
 #include "daemon/config_agent.hpp"
 #include "daemon/store_agent.hpp"
 
+#include <atomic>
 #include <boost/json/object.hpp>
 #include <string>
 #include <vector>
@@ -25,7 +26,7 @@
 
 private:
     api_backend backend();
-    bool ready() const;
+    bool ready();
     boost::json::object fleet_status();
     boost::json::object why(std::string const& subject);
     std::vector<event> timeline(hybrid_time since, std::string const& subject);
@@ -41,6 +42,7 @@
     store_agent& store_;
     peer_client& calls_;
     api_handler api_;
+    std::atomic<bool> caught_up_{false}; // once, after the start
 };
 
 } // namespace chivelever
--- a/daemon/store_agent.cpp
+++ b/daemon/store_agent.cpp
@@ -13,6 +13,9 @@
 // How soon a host notices that it has become a watcher.
 constexpr duration idle_pause = 200ms;
 constexpr duration list_period = 2s;
+// Longest wait for a revision that another host has, before a change is submitted.
+constexpr duration catch_up_wait = 600ms;
+constexpr duration catch_up_poll = 20ms;
 constexpr char const* list_key = "hosts";
 
 std::variant<http_store, memory_store> make_store(host_settings const& s)
@@ -172,6 +175,14 @@
     options.base = proposal.base;
     for (member const& m : control_.members())
         options.highest_seen = std::max(options.highest_seen, m.config);
+    // The winner of a race may be known from a heartbeat and not yet pulled. Without it the loser
+    // would be told to try again instead of whose change it lost to.
+    for (duration waited{}; waited < catch_up_wait && options.highest_seen > config_.log().rev();
+         waited += catch_up_poll)
+    {
+        config_.pull();
+        sleep(catch_up_poll);
+    }
     submit_result result = submitter_.submit(proposal.change, options);
     config_.publish();
     shared_.record("change.submitted", "change/" + proposal.change.change_id, result.message);
--- a/soak/models.cpp
+++ b/soak/models.cpp
@@ -81,7 +81,7 @@
         return answer(p, source, packet_status::cancelled);
     if (p.head.kind == packet_kind::data)
     {
-        packet echo = p;
+        packet const& echo = p;
         w_.send_to_host(zone_, address_, source, echo);
     }
 }
--- a/tests/threads_test.cpp
+++ b/tests/threads_test.cpp
@@ -19,6 +19,7 @@
 void in_threads(F&& f)
 {
     std::vector<std::thread> threads;
+    threads.reserve(thread_count);
     for (int i = 0; i < thread_count; ++i)
         threads.emplace_back([&f, i] { f(i); });
     for (std::thread& t : threads)
--- a/transport/metrics.cpp
+++ b/transport/metrics.cpp
@@ -80,8 +80,10 @@
 {
     std::lock_guard const lock(mutex_);
     std::ostringstream out;
-    for (auto const& [name, f] : families_)
+    for (auto const& entry : families_)
     {
+        std::string const& name = entry.first;
+        auto const& f = entry.second;
         out << "# HELP chivelever_" << name << " " << f->help << "\n# TYPE chivelever_" << name
             << " " << f->type << "\n";
         auto const line = [&](std::string const& labels, auto value)
--- a/transport/peer_rpc.cpp
+++ b/transport/peer_rpc.cpp
@@ -23,7 +23,8 @@
 constexpr int max_message_bytes = 4 * 1024 * 1024;
 // A configuration snapshot of 400 KB takes tens of milliseconds within a zone and more between
 // zones.
-constexpr auto call_limit = std::chrono::milliseconds(1500);
+// A pull from a frozen host must leave time for another one within the 3 s of a zone move.
+constexpr auto call_limit = std::chrono::milliseconds(600);
 // Peers are few, so a channel that was not used for a minute gives its memory back.
 constexpr int idle_timeout_ms = 60'000;
 constexpr std::size_t max_timeline_events = 20'000;
