--- a/transport/peer_rpc.cpp
+++ b/transport/peer_rpc.cpp
@@ -232,7 +232,7 @@
 {
     using stub_ptr = std::shared_ptr<wire::peer::Stub>;
 
-    stub_ptr stub(endpoint host)
+    stub_ptr channel_to(endpoint host)
     {
         std::lock_guard const lock(mutex);
         stub_ptr& s = stubs[host];
@@ -258,7 +258,7 @@
         context.set_deadline(std::chrono::system_clock::now() + call_limit);
         context.AddMetadata(secret_header, token);
         Reply reply;
-        stub_ptr const s = stub(host);
+        stub_ptr const s = channel_to(host);
         if (!((*s).*method)(&context, request, &reply).ok())
             return {};
         return reply;
