--- a/coordination/router.cpp
+++ b/coordination/router.cpp
@@ -235,26 +235,35 @@
     return in.table.zone_is_out(zone) ? 0 : in.table.capacity({in.packet.service, zone});
 }
 
-// The zone's share of the packets: the fabric sprays them over the live hosts of all zones.
-double arrival_share(decision_input const& in, zone_id zone)
+// What all zones offer together, and the hosts over which the fabric sprays the packets.
+struct fleet_totals
 {
-    std::size_t all = 0;
+    double slots{};
+    double hosts{};
+};
+
+fleet_totals totals(decision_input const& in, std::span<zone_id const> zones)
+{
+    fleet_totals t;
+    for (zone_id const zone : zones)
+        t.slots += offered(in, zone);
     for (zone_config const& z : in.table.config().zones)
-        all += z.state == zone_state::out ? 0 : in.view.live_hosts(z.id);
-    return all == 0 ? 1 : static_cast<double>(in.view.live_hosts(zone)) / static_cast<double>(all);
+        t.hosts += z.state == zone_state::out ? 0 : static_cast<double>(in.view.live_hosts(z.id));
+    return t;
 }
 
 // Preference of a zone for one open, higher first; negative if the zone takes none. Zones get new
 // work in proportion to what they offer: the own zone keeps its fair share of what arrives in it,
 // and the surplus goes to zones in which less arrives than is their share. Keeping everything in
 // the own zone overloaded upstreams in zones with few of them (max over mean 1.33 for 2, 1 and 1).
-double zone_score(decision_input const& in, zone_id zone, double total, bool spill)
+double zone_score(decision_input const& in, zone_id zone, fleet_totals const& all, bool spill)
 {
-    double const share = total <= 0 ? 0 : offered(in, zone) / total;
+    double const share = all.slots <= 0 ? 0 : offered(in, zone) / all.slots;
     if (share <= 0)
         return -1;
     double const ramp = in.ramp.share(zone, in.now);
-    double const arrivals = arrival_share(in, zone);
+    double const arrivals =
+        all.hosts <= 0 ? 1 : static_cast<double>(in.view.live_hosts(zone)) / all.hosts;
     if (zone != in.view.zone())
         return rendezvous_score(in.key, zone.value,
                                 std::max(share * ramp - arrivals, share * ramp * least_spill));
@@ -282,17 +291,20 @@
     auto const zones = in.table.zones_of(service);
     bool const spill = effective(in.table.config(), setting::spill_to_other_zones, service) != 0;
     bool const at_home = std::find(zones.begin(), zones.end(), in.view.zone()) != zones.end();
-    double total = 0;
-    for (zone_id const zone : zones)
-        total += offered(in, zone);
+    fleet_totals const all = totals(in, zones);
     zone_choice best;
+    // Most opens stay in the own zone, so the others need not be weighed.
+    if (at_home &&
+        zone_score(in, in.view.zone(), all, spill) == std::numeric_limits<double>::infinity())
+        if (cluster_entry const* const holder = in.view.holder({service, in.view.zone()}))
+            return {in.view.zone(), in.view.zone(), holder};
     double best_score = -1;
     double best_held_score = -1;
     for (zone_id const zone : zones)
     {
         if (!spill && at_home && zone != in.view.zone())
             continue;
-        double const score = zone_score(in, zone, total, spill);
+        double const score = zone_score(in, zone, all, spill);
         if (score > best_score)
         {
             best.zone = zone;
