--- a/bench/state.cpp
+++ b/bench/state.cpp
@@ -25,7 +25,7 @@
 {
     fleet_config const config = target_config();
     double kb = 0;
-    for (auto _ : state)
+    while (state.KeepRunning())
     {
         double const before = heap_kb();
         auto const table = std::make_unique<routing_table const>(config, host_list{}, "secret");
@@ -40,7 +40,7 @@
 {
     fleet_config const config = target_config();
     std::size_t bytes = 0;
-    for (auto _ : state)
+    while (state.KeepRunning())
     {
         std::string const text = encode(config);
         bytes = text.size();
@@ -58,7 +58,7 @@
     upstream_config const& u = table->config().upstreams.front();
     auto const flows = static_cast<std::size_t>(state.range(0));
     double kb = 0;
-    for (auto _ : state)
+    while (state.KeepRunning())
     {
         double const before = heap_kb();
         pool p({u.service, u.zone}, {{1}, {1}}, 1, 1);
