--- a/daemon/control_plane.cpp
+++ b/daemon/control_plane.cpp
@@ -289,9 +289,14 @@
 bool control_plane::has_successor()
 {
     std::lock_guard const lock(mutex_);
-    auto const hosts = membership_.settled_hosts(shared_.settings.zone, monotonic_now());
+    // A host that has just started counts as well: it settles within the time that a drain waits.
+    auto const& hosts = membership_.members();
     return std::any_of(hosts.begin(), hosts.end(),
-                       [this](host_id h) { return h != shared_.self.host; });
+                       [this](member const& m)
+                       {
+                           return m.who.host != shared_.self.host && m.alive &&
+                                  m.state == host_state::live && m.zone == shared_.settings.zone;
+                       });
 }
 
 std::vector<member> control_plane::members()
