Cancel the store's watch on shutdown

Cause: a stopping daemon waited up to 8 s for its watch of the store to return. Change: calls to the store end once they are cancelled.

--- a/daemon/store_agent.cpp
+++ b/daemon/store_agent.cpp
@@ -50,6 +50,11 @@
     return std::visit([](auto const& s) { return s.calls(); }, store_);
 }
 
+void daemon_store::cancel()
+{
+    std::visit([](auto& s) { s.cancel(); }, store_);
+}
+
 store_agent::store_agent(context& shared, control_plane& control, config_agent& config)
     : shared_(shared), control_(control), config_(config), store_(shared.settings),
       submitter_(store_, config.log(), json_store_codec(), {shared.settings.deployment}),
@@ -81,6 +86,7 @@
         stopping_ = true;
     }
     stop_signal_.notify_all();
+    store_.cancel();
     if (watch_thread_.joinable())
         watch_thread_.join();
     if (list_thread_.joinable())
--- a/daemon/store_agent.hpp
+++ b/daemon/store_agent.hpp
@@ -26,6 +26,7 @@
                                  std::uint64_t expected);
     store_value watch(std::string const& key, std::uint64_t index, duration wait);
     std::uint64_t calls() const;
+    void cancel();
 
 private:
     std::variant<http_store, memory_store> store_;
--- a/transport/http_client.cpp
+++ b/transport/http_client.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <chrono>
 #include <exception>
 
 namespace chivelever
@@ -22,6 +23,9 @@
 // The largest value of the store is 1 MB; base64 and JSON add a third and a little.
 constexpr std::size_t max_reply_bytes = 4 * 1024 * 1024;
 
+// How soon a cancelled call ends.
+constexpr auto cancel_poll = std::chrono::milliseconds(50);
+
 asio::awaitable<http_reply> exchange(endpoint server, http::request<http::string_body> request,
                                      duration limit)
 {
@@ -42,7 +46,7 @@
 
 std::optional<http_reply> http_call(endpoint server, std::string const& method,
                                     std::string const& target, std::string const& body,
-                                    duration limit)
+                                    duration limit, std::atomic<bool> const* cancelled)
 {
     http::request<http::string_body> request;
     request.method_string(method);
@@ -55,13 +59,16 @@
 
     asio::io_context io{1};
     std::optional<http_reply> result;
+    bool done = false;
     asio::co_spawn(io, exchange(server, std::move(request), limit),
-                   [&result](std::exception_ptr const& error, http_reply reply)
+                   [&result, &done](std::exception_ptr const& error, http_reply reply)
                    {
+                       done = true;
                        if (!error)
                            result = std::move(reply);
                    });
-    io.run();
+    while (!done && (cancelled == nullptr || !*cancelled))
+        io.run_for(cancel_poll);
     return result;
 }
 
--- a/transport/http_client.hpp
+++ b/transport/http_client.hpp
@@ -4,6 +4,7 @@
 
 #include "state/state.hpp"
 
+#include <atomic>
 #include <optional>
 #include <string>
 
@@ -17,10 +18,11 @@
     auto operator<=>(http_reply const&) const = default;
 };
 
-// One request on a connection of its own. Nothing if no whole reply came within the time limit.
+// One request on a connection of its own. Nothing if no whole reply came within the time limit,
+// or once `cancelled` is set.
 std::optional<http_reply> http_call(endpoint server, std::string const& method,
                                     std::string const& target, std::string const& body,
-                                    duration limit);
+                                    duration limit, std::atomic<bool> const* cancelled = nullptr);
 
 } // namespace chivelever
 
--- a/transport/store_client.cpp
+++ b/transport/store_client.cpp
@@ -52,7 +52,7 @@
 store_value http_store::read(std::string const& target, duration limit)
 {
     ++calls_;
-    auto const reply = http_call(server_, "GET", target, {}, limit);
+    auto const reply = http_call(server_, "GET", target, {}, limit, &cancelled_);
     if (!reply)
         return {store_status::unreachable, {}, 0};
     if (reply->status == http_not_found)
@@ -79,8 +79,9 @@
                                          std::uint64_t expected)
 {
     ++calls_;
-    auto const reply = http_call(
-        server_, "PUT", "/v1/kv/" + key + "?cas=" + std::to_string(expected), value, call_limit);
+    auto const reply =
+        http_call(server_, "PUT", "/v1/kv/" + key + "?cas=" + std::to_string(expected), value,
+                  call_limit, &cancelled_);
     if (!reply || reply->status != http_ok)
         return {store_status::unreachable, {}, 0};
     bool const accepted = reply->body.starts_with("true");
@@ -116,8 +117,17 @@
 {
     ++calls_;
     std::unique_lock lock(mutex_);
-    changed_.wait_for(lock, wait, [&] { return read(key).index != index; });
+    changed_.wait_for(lock, wait, [&] { return cancelled_ || read(key).index != index; });
     return read(key);
 }
 
+void memory_store::cancel()
+{
+    {
+        std::lock_guard const lock(mutex_);
+        cancelled_ = true;
+    }
+    changed_.notify_all();
+}
+
 } // namespace chivelever
--- a/transport/store_client.hpp
+++ b/transport/store_client.hpp
@@ -25,12 +25,15 @@
                                  std::uint64_t expected);
     store_value watch(std::string const& key, std::uint64_t index, duration wait);
     std::uint64_t calls() const { return calls_; }
+    // Ends calls in progress and all later ones, so that a shutdown need not wait for a watch.
+    void cancel() { cancelled_ = true; }
 
 private:
     store_value read(std::string const& target, duration limit);
 
     endpoint server_;
     std::atomic<std::uint64_t> calls_{0};
+    std::atomic<bool> cancelled_{false};
 };
 static_assert(platform_store<http_store>);
 
@@ -43,6 +46,7 @@
                                  std::uint64_t expected);
     store_value watch(std::string const& key, std::uint64_t index, duration wait);
     std::uint64_t calls() const { return calls_; }
+    void cancel();
 
 private:
     store_value read(std::string const& key) const;
@@ -51,6 +55,7 @@
     std::condition_variable changed_;
     std::map<std::string, store_value> values_;
     std::uint64_t index_{0};
+    bool cancelled_{false};
     std::atomic<std::uint64_t> calls_{0};
 };
 static_assert(platform_store<memory_store>);
