--- a/tests/lease_rules_test.cpp
+++ b/tests/lease_rules_test.cpp
@@ -1,4 +1,6 @@
 // Pool leases: the rules one by one.
+#include "tests/lease_fixture.hpp"
+
 #include "coordination/coordination.hpp"
 
 #include <catch2/catch.hpp>
@@ -9,22 +11,6 @@
 namespace
 {
 
-constexpr time_point origin{1h};
-
-host_list make_list(std::uint64_t version, std::vector<std::pair<int, int>> const& host_and_zone)
-{
-    host_list l{version, {}};
-    for (auto const& [host, zone] : host_and_zone)
-        l.hosts.push_back({listed_kind::entry, static_cast<std::uint32_t>(host),
-                           zone_id{static_cast<std::uint8_t>(zone)}, host_state::live});
-    return l;
-}
-
-pool_id pool_of(int service, int zone = 1)
-{
-    return {{static_cast<std::uint32_t>(service)}, {static_cast<std::uint8_t>(zone)}};
-}
-
 lease_request ask(host_instance holder, std::uint32_t round, pool_id pool, granter_set const& set,
                   bool release = false)
 {
