--- /dev/null
+++ b/coordination/flow_table.cpp
@@ -0,0 +1,161 @@
+#include "coordination/flow_table.hpp"
+
+namespace chivelever
+{
+
+namespace
+{
+
+// Whether sequence a is later than b, modulo 2^32.
+bool later(std::uint32_t a, std::uint32_t b)
+{
+    return static_cast<std::int32_t>(a - b) > 0;
+}
+
+} // namespace
+
+flow_record* flow_table::find(flow_ends const& key)
+{
+    auto const it = flows_.find(key);
+    return it == flows_.end() ? nullptr : &it->second;
+}
+
+void flow_table::start_waiting(flow_record& flow, time_point now)
+{
+    if (flow.request_at != time_point{})
+        return;
+    flow.request_at = now;
+    ++loads_[flow.upstream.value].waiting;
+}
+
+void flow_table::stop_waiting(flow_record& flow)
+{
+    if (flow.request_at == time_point{})
+        return;
+    flow.request_at = {};
+    --loads_[flow.upstream.value].waiting;
+}
+
+void flow_table::release(flow_record& flow)
+{
+    stop_waiting(flow);
+    auto const it = loads_.find(flow.upstream.value);
+    if (--it->second.flows == 0)
+        loads_.erase(it);
+}
+
+flow_record& flow_table::open(flow_ends const& key, flow_token upstream, std::uint32_t sequence,
+                              time_point now)
+{
+    erase(key);
+    flow_record& f = flows_[key];
+    f.upstream = upstream;
+    f.first_sequence = sequence;
+    f.sent_end = sequence + 1;
+    f.opened = f.last_seen = now;
+    f.offers = 1;
+    ++loads_[upstream.value].flows;
+    start_waiting(f, now);
+    return f;
+}
+
+flow_record& flow_table::adopt(flow_packet const& p, time_point now)
+{
+    flow_record& f = open(p.flow, p.token, p.sequence - 1, now);
+    stop_waiting(f);
+    f.phase = flow_phase::open;
+    f.acknowledged = p.acknowledged;
+    f.sent_end = p.sequence;
+    return f;
+}
+
+void flow_table::offer(flow_record& flow, flow_token upstream)
+{
+    if (flow.offers <= flow.tried.size() && flow.offers > 0)
+        flow.tried[flow.offers - 1U] = flow.upstream;
+    ++flow.offers;
+    time_point const since = flow.request_at;
+    release(flow);
+    flow.upstream = upstream;
+    ++loads_[upstream.value].flows;
+    if (since != time_point{})
+        start_waiting(flow, since);
+}
+
+flow_observation flow_table::observe(flow_record& flow, flow_packet const& p, time_point now)
+{
+    flow_observation seen;
+    flow.last_seen = now;
+    if (flow.phase == flow_phase::opening && p.ack)
+    {
+        flow.phase = flow_phase::open;
+        flow.acknowledged = p.acknowledged;
+        seen.answered = true;
+    }
+    else if (p.ack && later(p.acknowledged, flow.acknowledged))
+    {
+        flow.acknowledged = p.acknowledged;
+        seen.answered = true;
+        if (flow.request_at != time_point{})
+            seen.answer_time = now - flow.request_at;
+        stop_waiting(flow);
+    }
+    if (p.data_bytes > 0)
+    {
+        std::uint32_t const end = p.sequence + p.data_bytes;
+        if (later(end, flow.sent_end))
+        {
+            seen.request =
+                flow.request_at == time_point{} || flow.sent_end == flow.first_sequence + 1;
+            flow.sent_end = end;
+            start_waiting(flow, now);
+        }
+        else
+            seen.repeated = true;
+    }
+    if (p.fin)
+    {
+        flow.phase = flow_phase::closing;
+        stop_waiting(flow);
+    }
+    return seen;
+}
+
+void flow_table::erase(flow_ends const& key)
+{
+    auto const it = flows_.find(key);
+    if (it == flows_.end())
+        return;
+    release(it->second);
+    flows_.erase(it);
+}
+
+void flow_table::expire(time_point now, duration idle)
+{
+    using namespace std::chrono_literals;
+    // A closed flow may still repeat its last packets, and an opening is given up after 1.4 s.
+    constexpr duration closing_life = 2s;
+    constexpr duration opening_life = 2s;
+    for (auto it = flows_.begin(); it != flows_.end();)
+    {
+        flow_record& f = it->second;
+        duration const life = f.phase == flow_phase::open      ? idle
+                              : f.phase == flow_phase::closing ? closing_life
+                                                               : opening_life;
+        if (now - f.last_seen < life)
+        {
+            ++it;
+            continue;
+        }
+        release(f);
+        it = flows_.erase(it);
+    }
+}
+
+upstream_load flow_table::load(flow_token upstream) const
+{
+    auto const it = loads_.find(upstream.value);
+    return it == loads_.end() ? upstream_load{} : it->second;
+}
+
+} // namespace chivelever
--- /dev/null
+++ b/coordination/placement.cpp
@@ -0,0 +1,131 @@
+#include "coordination/placement.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace chivelever
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+// Cost of an open flow beside a waiting request: a long flow is busy for about this share of the
+// time (one request a second of 25 to 40 ms).
+constexpr double open_flow_weight = 0.04;
+// Another zone is worth its bytes when the own zone's upstreams have a full queue place more for
+// each slot: a wait of one service time costs about as much as the bytes.
+constexpr double other_zone_cost = 1.0;
+// Above any load: such an upstream is taken only if there is no other.
+constexpr double cold_cost = 10.0;
+constexpr double unreachable_cost = 100.0;
+constexpr double suspicion_cost = 200.0;
+constexpr double silent_cost = 1000.0;
+constexpr duration cold_window = 1s;
+
+} // namespace
+
+std::string const& placement::pick_service(route_entry const& route, flow_ends const& flow) const
+{
+    std::uint64_t total = 0;
+    for (route_target const& t : route.targets)
+        total += t.weight;
+    if (total == 0)
+        return route.targets.front().service;
+    std::uint64_t at = hash_value(flow) % total;
+    for (route_target const& t : route.targets)
+    {
+        if (at < t.weight)
+            return t.service;
+        at -= t.weight;
+    }
+    return route.targets.back().service;
+}
+
+// Only hosts of the upstream's own zone use it while it is cold, and each keeps to an equal share
+// of what it bears, so that the sum over all hosts stays within the bound without any message. A
+// place is kept free for a host that joins.
+bool placement::cold_admits(known_upstream const& u, deployment_view const& view,
+                            fleet_picture const& fleet, time_point now)
+{
+    service_entry const* const service = view.service(u.entry.service);
+    if (u.entry.zone != settings_.zone || service == nullptr)
+        return false;
+    double const bound =
+        service->cold_requests_per_s * settings_.cold_overage + settings_.cold_slack;
+    auto const share =
+        static_cast<std::size_t>(bound / static_cast<double>(fleet.hosts_in_zone + 1));
+    auto& times = cold_openings_[u.token.value];
+    while (!times.empty() && now - times.front() > cold_window)
+        times.pop_front();
+    return times.size() < share;
+}
+
+double placement::score(known_upstream const& u, flow_table const& flows,
+                        upstream_health const& health, fleet_picture const& fleet,
+                        time_point now) const
+{
+    upstream_load const own = flows.load(u.token);
+    upstream_load const others = fleet.other_load(u.token);
+    double const slots = std::max<std::uint32_t>(1, u.entry.slots);
+    double s =
+        (own.waiting + others.waiting + open_flow_weight * (own.flows + others.flows)) / slots;
+    if (u.entry.zone != settings_.zone)
+        s += other_zone_cost;
+    if (now < u.cold_until)
+        s += cold_cost;
+    if (!fleet.zone_reachable(u.entry.zone))
+        s += unreachable_cost;
+    upstream_verdict const verdict = health.verdict(u.token, now);
+    if (verdict == upstream_verdict::suspected)
+        s += suspicion_cost;
+    if (verdict == upstream_verdict::silent)
+        s += silent_cost;
+    return s;
+}
+
+placement_choice placement::choose(std::string const& service, std::span<flow_token const> excluded,
+                                   deployment_view const& view, flow_table const& flows,
+                                   upstream_health const& health, fleet_picture const& fleet,
+                                   time_point now)
+{
+    placement_choice best;
+    std::uint32_t ties = 0;
+    best.reason = "no upstream";
+    for (flow_token const token : view.upstreams_of(service))
+    {
+        known_upstream const* const u = view.find(token);
+        if (u == nullptr || !view.takes_new_flows(*u, now) ||
+            std::ranges::find(excluded, token) != excluded.end())
+            continue;
+        ++best.candidates;
+        if (now < u->cold_until && !cold_admits(*u, view, fleet, now))
+        {
+            best.reason = best.upstream.value == 0 ? "cold" : best.reason;
+            continue;
+        }
+        double const s = score(*u, flows, health, fleet, now);
+        bool const better = best.upstream.value == 0 || s < best.score - 1e-9;
+        bool const tie = !better && std::abs(s - best.score) <= 1e-9;
+        // Hosts that see equal loads must not all take the same upstream.
+        if (tie)
+            ++ties;
+        if (better || (tie && random_() % (ties + 1) == 0))
+        {
+            if (better)
+                ties = 0;
+            best.upstream = token;
+            best.score = s;
+            best.reason = "least load";
+        }
+    }
+    known_upstream const* const chosen = view.find(best.upstream);
+    if (best.upstream.value != 0 && now < chosen->cold_until)
+        cold_openings_[best.upstream.value].push_back(now);
+    else if (!cold_openings_.empty() && chosen != nullptr)
+        cold_openings_.erase(best.upstream.value);
+    return best;
+}
+
+} // namespace chivelever
--- /dev/null
+++ b/coordination/upstream_health.hpp
@@ -0,0 +1,60 @@
+// Suspicion of upstreams from passing packets. Answers upstreams that die without a word, hang or
+// are cut off while their entry in the store and their health checks still look good: openings that
+// are not answered and requests that are sent again are noticed within a round trip or two, long
+// before the entry lapses.
+#ifndef CHIVELEVER_COORDINATION_UPSTREAM_HEALTH_HPP
+#define CHIVELEVER_COORDINATION_UPSTREAM_HEALTH_HPP
+
+#include "state/state.hpp"
+
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+namespace chivelever
+{
+
+enum class upstream_verdict : std::uint8_t
+{
+    working,
+    suspected, // avoid it for new flows
+    silent     // answers nothing while others do: its flows have no future
+};
+
+class upstream_health
+{
+public:
+    // A packet of the caller shows that the upstream has answered.
+    void progress(flow_token upstream, time_point now);
+    // An opening was not answered, or a request was sent again. Returns true if the upstream
+    // becomes suspected by this.
+    bool failure(flow_token upstream, flow_ends const& flow, time_point now);
+    // Another host suspects it.
+    void peer_suspects(flow_token upstream, time_point now);
+
+    upstream_verdict verdict(flow_token upstream, time_point now) const;
+    // Those that this host has found failing itself, for other hosts.
+    std::vector<flow_token> suspects(time_point now) const;
+    // True if nothing has answered for a while although several upstreams were tried: the fault is
+    // then on this host's side.
+    bool isolated(time_point now) const;
+
+private:
+    struct record
+    {
+        time_point last_progress;
+        time_point first_failure; // since the last progress
+        time_point last_failure;
+        time_point peer_report;
+        std::uint64_t failed_flows{}; // bit set of flow hashes, to count distinct flows
+        std::uint32_t failures{};
+    };
+    std::unordered_map<std::uint32_t, record> records_;
+    time_point last_progress_{};       // of any upstream
+    time_point first_failure_{};       // of any upstream since then
+    std::uint64_t failed_upstreams_{}; // bit set of hashes, since then
+};
+
+} // namespace chivelever
+
+#endif
--- /dev/null
+++ b/edge/edge_knowledge.cpp
@@ -0,0 +1,267 @@
+// What this host learns from the store and from other hosts.
+#include "edge/edge_host.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace chivelever
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+// The store answers in 4 ms and, when it is slow, in a third of a second.
+constexpr duration store_call_limit = 1s;
+constexpr duration fetch_limit = 500ms;
+constexpr duration idle_check = 20ms; // how long the reading loop sleeps at most past its time
+constexpr duration register_retry = 2s;
+// 2,200 upstreams in pages of 50; more is an endless listing.
+constexpr int max_pages = 100;
+constexpr std::size_t others_in_beat = 3;
+constexpr int http_ok = 200;
+
+std::uint32_t ms_since(time_point then, time_point now)
+{
+    if (then == time_point{})
+        return 0xFFFFFFFFU;
+    auto const age = (now - then) / 1ms;
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(age, 0, 0xFFFFFFFF));
+}
+
+} // namespace
+
+asio::awaitable<void> edge_host::read_store_forever()
+{
+    while (!leaving_)
+    {
+        time_point const now = boot_time_now();
+        time_point const due = peers_.next_read(view_.version(), now);
+        if (due > now)
+        {
+            co_await sleep_for(std::min<duration>(due - now, idle_check));
+            continue;
+        }
+        bool const done = co_await read_store();
+        if (done)
+            peers_.read_done();
+        else
+            peers_.read_failed(boot_time_now());
+    }
+}
+
+asio::awaitable<bool> edge_host::read_store()
+{
+    time_point const read_at = boot_time_now();
+    std::uint64_t operators_as_of = 0;
+    std::uint64_t upstreams_as_of = 0;
+    auto const operators = co_await read_section(platform::section::operators, operators_as_of);
+    if (!operators)
+        co_return false;
+    auto const upstreams = co_await read_section(platform::section::upstreams, upstreams_as_of);
+    if (!upstreams)
+        co_return false;
+    note_store(true, "");
+    metrics_.observe("store_reading_seconds", "one reading of configuration and upstreams",
+                     std::chrono::duration<double>(boot_time_now() - read_at).count());
+    findings problems;
+    operator_listing const o = platform::decode_operators(*operators, operators_as_of, problems);
+    upstream_listing const u = platform::decode_upstreams(*upstreams, upstreams_as_of, problems);
+    log_findings(problems);
+    apply_view(o, u, read_at, "store");
+    send_beats(true);
+    co_return true;
+}
+
+asio::awaitable<std::optional<std::vector<platform::stored_item>>>
+edge_host::read_section(platform::section s, std::uint64_t& as_of)
+{
+    std::vector<platform::stored_item> items;
+    for (int page = 0; page < max_pages; ++page)
+    {
+        auto const request =
+            platform::range_request(s, items.empty() ? "" : items.back().key, false);
+        metrics_.count("store_calls_total", "calls to the store", "kind=\"range\"")++;
+        auto reply =
+            co_await store_.call(request.method, request.target, request.body, store_call_limit);
+        if (!reply || reply->status != http_ok)
+        {
+            note_store(false, reply ? "status " + std::to_string(reply->status) : "no answer");
+            co_return std::nullopt;
+        }
+        findings problems;
+        auto decoded = platform::decode_page(reply->body, problems);
+        log_findings(problems);
+        if (!decoded)
+        {
+            note_store(false, "unreadable answer");
+            co_return std::nullopt;
+        }
+        // Pages are no snapshot: the oldest of them dates the listing.
+        as_of = page == 0 ? decoded->as_of : std::min(as_of, decoded->as_of);
+        bool const advances =
+            decoded->items.empty() || items.empty() || decoded->items.back().key > items.back().key;
+        items.insert(items.end(), std::make_move_iterator(decoded->items.begin()),
+                     std::make_move_iterator(decoded->items.end()));
+        if (!decoded->more || decoded->items.empty())
+            co_return items;
+        if (!advances)
+            break;
+    }
+    note_store(false, "pages repeat");
+    co_return std::nullopt;
+}
+
+// Hosts find each other in the store: each leaves its address there, and reads those of the others
+// once it runs.
+asio::awaitable<void> edge_host::register_host()
+{
+    http_connection connection(io_, settings_.store);
+    peer_address const self{settings_.ip, settings_.zone};
+    bool written = false;
+    bool read = false;
+    while (!leaving_ && !(written && read))
+    {
+        if (!written)
+        {
+            auto const r = platform::register_host_request(self);
+            metrics_.count("store_calls_total", "calls to the store", "kind=\"write\"")++;
+            auto const reply =
+                co_await connection.call(r.method, r.target, r.body, store_call_limit);
+            written = reply && reply->status == http_ok;
+        }
+        auto const r = platform::range_request(platform::section::hosts, "", true);
+        metrics_.count("store_calls_total", "calls to the store", "kind=\"range_stale\"")++;
+        auto const reply = co_await connection.call(r.method, r.target, r.body, store_call_limit);
+        findings problems;
+        auto const page = reply && reply->status == http_ok
+                              ? platform::decode_page(reply->body, problems)
+                              : std::nullopt;
+        if (page)
+        {
+            read = true;
+            for (peer_address const& p : platform::decode_hosts(page->items, problems))
+                peers_.add(p, boot_time_now());
+        }
+        log_findings(problems);
+        if (!(written && read))
+            co_await sleep_for(register_retry);
+    }
+    log::info("host.registered", {{"peers", std::to_string(peers_.known())}});
+}
+
+asio::awaitable<void> edge_host::fetch_view()
+{
+    auto const source = peers_.source(view_.version(), boot_time_now());
+    if (fetching_ || !source)
+        co_return;
+    fetching_ = true;
+    endpoint const from{*source, settings_.peer_port};
+    http_connection connection(io_, from);
+    time_point const asked = boot_time_now();
+    auto const reply = co_await connection.call("GET", std::string(view_path), "", fetch_limit);
+    fetching_ = false;
+    auto const v = reply && reply->status == http_ok ? decode_view(reply->body) : std::nullopt;
+    metrics_.count("view_fetches_total", "views fetched from other hosts",
+                   std::string("outcome=\"") + (v ? "done" : "failed") + "\"")++;
+    if (!v)
+    {
+        log::warning("view.fetch_failed", {{"from", to_string(from)}});
+        co_return;
+    }
+    apply_view(v->operators, v->upstreams, asked - std::chrono::milliseconds(v->view_age_ms),
+               to_string(from));
+}
+
+void edge_host::apply_view(operator_listing const& operators, upstream_listing const& upstreams,
+                           time_point read_at, std::string const& source)
+{
+    time_point const now = boot_time_now();
+    std::vector<belief_change> changes;
+    bool const applied = view_.apply(operators, upstreams, read_at, now, changes);
+    if (!applied)
+        log::info("view.older", {{"source", source},
+                                 {"as_of", std::to_string(operators.as_of)},
+                                 {"own_as_of", std::to_string(view_.version().as_of)}});
+    for (belief_change const& c : changes)
+        log::info(c.kind, {{"subject", c.subject},
+                           {"detail", c.detail},
+                           {"source", source},
+                           {"as_of", std::to_string(operators.as_of)},
+                           {"age_ms", std::to_string(ms_since(read_at, now))}});
+    ready(now);
+}
+
+void edge_host::on_beat(std::string_view bytes, endpoint source)
+{
+    time_point const now = boot_time_now();
+    auto const beat = decode_beat(bytes);
+    if (!beat)
+    {
+        metrics_.count("beats_refused_total", "messages of other hosts that could not be read")++;
+        log::warning("beat.refused", {{"source", to_string(source)}});
+        return;
+    }
+    auto const outcome = peers_.on_beat(*beat, view_.version(), now);
+    if (outcome.new_peer)
+        log::info("peer.heard",
+                  {{"peer", to_string(endpoint{beat->sender.ip, 0})}, {"zone", beat->sender.zone}});
+    for (flow_token const t : beat->suspects)
+        health_.peer_suspects(t, now);
+    if (outcome.confirms)
+        view_.confirm(beat->as_of, outcome.confirmed_at, now);
+    else if (outcome.newer && !fetching_)
+        asio::co_spawn(io_, fetch_view(), asio::detached);
+}
+
+void edge_host::send_beats(bool all)
+{
+    time_point const now = boot_time_now();
+    view_version const v = view_.version();
+    peer_beat b;
+    b.sender = {settings_.ip, settings_.zone};
+    b.leaving = false;
+    b.as_of = v.as_of;
+    b.digest = v.digest;
+    b.config_version = v.config_version;
+    b.view_age_ms = ms_since(v.confirmed_at, now);
+    for (auto const& [token, load] : flows_.loads())
+        b.loads.push_back({{token}, load.flows, load.waiting});
+    b.suspects = health_.suspects(now);
+    b.others = peers_.some_peers(others_in_beat, now);
+    std::string const bytes = encode_beat(b);
+    for (std::uint32_t const ip : peers_.targets(all, now))
+        beats_->send({ip, settings_.peer_port}, bytes);
+}
+
+void edge_host::note_store(bool reachable, std::string const& detail)
+{
+    if (!reachable)
+        metrics_.count("store_failures_total", "calls that the store did not answer as asked")++;
+    if (store_reachable_ == reachable)
+        return;
+    store_reachable_ = reachable;
+    if (reachable)
+        log::info("store.reached", {{"store", to_string(store_.server())}});
+    else
+        log::warning("store.lost", {{"store", to_string(store_.server())}, {"detail", detail}});
+}
+
+// Each kind once, and again each time that its count doubles: an entry that cannot be read stays in
+// the store and is met at each reading.
+void edge_host::log_findings(findings const& problems)
+{
+    for (finding const& f : problems)
+    {
+        metrics_.count("findings_total", "items of the store that could not be used")++;
+        std::uint64_t const times = ++logged_findings_[to_string(f)];
+        if ((times & (times - 1)) == 0)
+            log::warning("store.finding",
+                         {{"finding", to_string(f)}, {"times", std::to_string(times)}});
+    }
+}
+
+} // namespace chivelever
--- /dev/null
+++ b/edge/edge_packets.cpp
@@ -0,0 +1,134 @@
+// Packets of callers: from the socket to the decision and on.
+#include "edge/edge_host.hpp"
+
+#include <array>
+
+namespace chivelever
+{
+
+namespace
+{
+
+std::string name_of(flow_ends const& k)
+{
+    return to_string(k.caller) + ">" + to_string(k.destination);
+}
+
+std::int64_t ms(duration d)
+{
+    return d / std::chrono::milliseconds(1);
+}
+
+std::string_view name_of(packet_action a)
+{
+    constexpr std::array<std::string_view, 3> names{"drop", "forward", "reset"};
+    return names[static_cast<std::size_t>(a)];
+}
+
+} // namespace
+
+void edge_host::on_packet(std::string_view bytes)
+{
+    time_point const now = boot_time_now();
+    last_packet_ = now;
+    auto const decoded = platform::decode_packet(bytes);
+    if (decoded.fault != platform::packet_fault::none)
+    {
+        std::string const fault(platform::to_string(decoded.fault));
+        metrics_.count("packets_refused_total", "packets that could not be decoded",
+                       "reason=\"" + fault + "\"")++;
+        log::warning("packet.refused",
+                     {{"reason", fault}, {"bytes", std::to_string(bytes.size())}});
+        return;
+    }
+    packet_decision const d = router_.handle(decoded.packet, bytes, now);
+    carry_out(d, bytes, now);
+    log_decision(d, bytes, now);
+    arm_offers();
+}
+
+void edge_host::carry_out(packet_decision const& d, std::string_view packet, time_point)
+{
+    if (d.action == packet_action::forward)
+    {
+        static std::array<char, platform::upstream_prefix_bytes + platform::max_packet_bytes> out;
+        std::size_t const n =
+            platform::encode_for_upstream(packet, d.datagram_address, d.token, out);
+        packets_->send(d.to, {out.data(), n});
+    }
+    else if (d.action == packet_action::reset)
+    {
+        auto const reset = platform::encode_reset(d.flow, d.reset_sequence);
+        packets_->send({d.flow.caller.address, settings_.packets.port},
+                       {reset.data(), reset.size()});
+    }
+}
+
+// One line for each opening and each request, and for each packet that was not forwarded as usual.
+void edge_host::log_decision(packet_decision const& d, std::string_view packet, time_point now)
+{
+    std::string const reason(to_string(d.reason));
+    metrics_.count("packets_total", "packets of callers by decision",
+                   "action=\"" + std::string(name_of(d.action)) + "\",reason=\"" + reason + "\"")++;
+    if (d.newly_suspected)
+        log_suspicion(d);
+    if (d.seen.answer_time)
+        metrics_.observe("answer_seconds", "from a request to the caller's first acknowledgement",
+                         std::chrono::duration<double>(*d.seen.answer_time).count());
+    std::string_view const request =
+        d.seen.request ? platform::request_id_in(packet) : std::string_view{};
+    bool const usual = d.action == packet_action::forward && !d.opens;
+    if (usual && request.empty())
+        return;
+    view_version const v = view_.version();
+    known_upstream const* const u = view_.find(d.token);
+    log::info(d.opens ? "flow.opening" : (usual ? "request.forwarded" : "packet.decided"),
+              {{"flow", name_of(d.flow)},
+               {"request", std::string(request)},
+               {"action", std::string(name_of(d.action))},
+               {"reason", reason},
+               {"upstream", u != nullptr ? u->entry.name : ""},
+               {"offers", std::to_string(d.offers)},
+               {"config", std::to_string(v.config_version)},
+               {"as_of", std::to_string(v.as_of)},
+               {"view_age_ms", std::to_string(ms(now - v.confirmed_at))}});
+}
+
+void edge_host::log_suspicion(packet_decision const& d)
+{
+    known_upstream const* const u = view_.find(d.suspect);
+    metrics_.count("suspicions_total", "upstreams that became suspected")++;
+    log::info("upstream.suspected",
+              {{"upstream", u != nullptr ? u->entry.name : ""},
+               {"flow", name_of(d.flow)},
+               {"cause", d.opens ? "opening unanswered" : "request repeated"}});
+}
+
+void edge_host::offer_again(time_point now)
+{
+    for (repeated_offer const& r : router_.due(now))
+    {
+        carry_out(r.decision, r.packet, now);
+        log_decision(r.decision, r.packet, now);
+    }
+    arm_offers();
+}
+
+void edge_host::arm_offers()
+{
+    time_point const due = router_.next_due();
+    if (due == time_point{} || due == offers_armed_for_)
+        return;
+    offers_armed_for_ = due;
+    offer_timer_.expires_after(std::max(duration{}, due - boot_time_now()));
+    offer_timer_.async_wait(
+        [this](boost::system::error_code e)
+        {
+            if (e)
+                return;
+            offers_armed_for_ = {};
+            offer_again(boot_time_now());
+        });
+}
+
+} // namespace chivelever
--- /dev/null
+++ b/edge/main.cpp
@@ -0,0 +1,119 @@
+// chivelever-edge: the daemon of an entry host on the users' platform.
+#include "edge/edge_host.hpp"
+
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <exception>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <optional>
+#include <string>
+
+namespace
+{
+
+namespace po = boost::program_options;
+using namespace chivelever;
+
+constexpr int exit_ok = 0;
+constexpr int exit_failed = 1;
+constexpr int exit_usage = 2;
+constexpr char const* settings_variable = "CHIVELEVER_CONFIG";
+// A host takes about 60 openings and requests a second; a burst may be several times that.
+constexpr int log_lines_per_second = 200;
+
+po::options_description described()
+{
+    po::options_description d("Options");
+    d.add_options()("help", "show this text")(
+        "settings", po::value<std::string>()->value_name("FILE"),
+        "settings of this host (INI); default: the file that CHIVELEVER_CONFIG names")(
+        "check-settings", "check the settings, report all findings and exit")(
+        "metrics-port", po::value<std::uint16_t>()->default_value(0)->value_name("PORT"),
+        "TCP port for metrics; 0: none")(
+        "severity", po::value<std::string>()->default_value("info")->value_name("LEVEL"),
+        "least severity that is logged: debug, info, warning or error");
+    return d;
+}
+
+std::string settings_path(po::variables_map const& values)
+{
+    if (values.count("settings") != 0)
+        return values["settings"].as<std::string>();
+    char const* const named = std::getenv(settings_variable);
+    return named != nullptr ? named : "";
+}
+
+std::optional<edge_settings> read_settings(std::string const& path)
+{
+    std::ifstream in(path, std::ios::binary);
+    findings problems;
+    if (!in)
+        problems.push_back({path, "", "", 0, "cannot be read"});
+    std::string const text{std::istreambuf_iterator<char>(in), {}};
+    auto settings = in ? parse_edge_settings(text, path, problems) : std::nullopt;
+    for (finding const& f : problems)
+        std::cerr << to_string(f) << "\n";
+    return settings;
+}
+
+int run(edge_settings settings, std::string const& path, po::variables_map const& values)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    log::severity lowest = log::severity::info;
+    if (!log::parse_severity(values["severity"].as<std::string>(), lowest))
+    {
+        std::cerr << "chivelever-edge: unknown severity\n";
+        return exit_usage;
+    }
+    log::start_unblocking(lowest, settings.name, log_lines_per_second);
+    boost::asio::io_context io(1);
+    edge_host host(io, std::move(settings), path, values["metrics-port"].as<std::uint16_t>());
+    host.start();
+    io.run();
+    log::flush();
+    return exit_ok;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    po::variables_map values;
+    try
+    {
+        po::store(po::parse_command_line(argc, argv, described()), values);
+        po::notify(values);
+    }
+    catch (po::error const& e)
+    {
+        std::cerr << "chivelever-edge: " << e.what() << "\nTry chivelever-edge --help.\n";
+        return exit_usage;
+    }
+    if (values.count("help") != 0)
+    {
+        std::cout << "Usage: chivelever-edge [--settings FILE]\n" << described();
+        return exit_ok;
+    }
+    std::string const path = settings_path(values);
+    auto const settings = read_settings(path);
+    if (!settings)
+        return exit_usage;
+    if (values.count("check-settings") != 0)
+    {
+        std::cout << "settings are in order\n";
+        return exit_ok;
+    }
+    try
+    {
+        return run(*settings, path, values);
+    }
+    catch (std::exception const& e)
+    {
+        log::flush();
+        std::cerr << "chivelever-edge: " << e.what() << "\n";
+        return exit_failed;
+    }
+}
--- /dev/null
+++ b/protocol/edge_codec.cpp
@@ -0,0 +1,216 @@
+#include "protocol/edge_codec.hpp"
+
+#include <boost/json.hpp>
+
+namespace chivelever
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+// Members are rows in a fixed order: beats are sent many times a second, and names would triple
+// their size. The first element tells the layout.
+constexpr std::int64_t beat_layout = 1;
+constexpr std::int64_t view_layout = 1;
+
+template<class Int>
+Int number(json::value const& v)
+{
+    return v.to_number<Int>();
+}
+
+std::string text(json::value const& v)
+{
+    auto const& s = v.as_string();
+    return {s.data(), s.size()};
+}
+
+json::array encode_upstream(upstream_entry const& e)
+{
+    return {e.name,  e.datagram_address, e.address.packed(), e.service,         e.zone,
+            e.slots, e.draining,         e.cold_left_ms,     e.started_unix_ms, e.revision};
+}
+
+upstream_entry decode_upstream(json::value const& v)
+{
+    auto const& row = v.as_array();
+    upstream_entry e;
+    e.name = text(row.at(0));
+    e.datagram_address = number<std::uint64_t>(row.at(1));
+    e.address = endpoint::from_packed(number<std::uint64_t>(row.at(2)));
+    e.service = text(row.at(3));
+    e.zone = text(row.at(4));
+    e.slots = number<std::uint32_t>(row.at(5));
+    e.draining = row.at(6).as_bool();
+    e.cold_left_ms = number<std::uint32_t>(row.at(7));
+    e.started_unix_ms = number<std::int64_t>(row.at(8));
+    e.revision = number<std::uint64_t>(row.at(9));
+    return e;
+}
+
+json::array encode_route(route_entry const& r)
+{
+    json::array targets;
+    for (route_target const& t : r.targets)
+        targets.push_back(json::array{t.service, t.weight});
+    return {r.destination.packed(), std::move(targets), r.priority, r.timeout.count(),
+            r.latency_objective.count()};
+}
+
+route_entry decode_route(json::value const& v)
+{
+    auto const& row = v.as_array();
+    route_entry r;
+    r.destination = endpoint::from_packed(number<std::uint64_t>(row.at(0)));
+    for (json::value const& t : row.at(1).as_array())
+        r.targets.push_back({text(t.as_array().at(0)), number<std::uint32_t>(t.as_array().at(1))});
+    r.priority = number<std::uint32_t>(row.at(2));
+    r.timeout = duration(number<std::int64_t>(row.at(3)));
+    r.latency_objective = duration(number<std::int64_t>(row.at(4)));
+    if (r.targets.empty())
+        throw std::out_of_range("a route without targets");
+    return r;
+}
+
+json::value encode_config(std::optional<edge_config> const& c)
+{
+    if (!c)
+        return nullptr;
+    json::array routes;
+    for (route_entry const& r : c->routes)
+        routes.push_back(encode_route(r));
+    json::array services;
+    for (service_entry const& s : c->services)
+        services.push_back(json::array{s.name, s.cold_requests_per_s, s.cold_time.count()});
+    return json::array{c->version, c->idle_limit.count(), std::move(routes), std::move(services)};
+}
+
+std::optional<edge_config> decode_config(json::value const& v)
+{
+    if (v.is_null())
+        return std::nullopt;
+    auto const& row = v.as_array();
+    edge_config c;
+    c.version = number<std::uint64_t>(row.at(0));
+    c.idle_limit = duration(number<std::int64_t>(row.at(1)));
+    for (json::value const& r : row.at(2).as_array())
+        c.routes.push_back(decode_route(r));
+    for (json::value const& s : row.at(3).as_array())
+        c.services.push_back({text(s.as_array().at(0)), number<double>(s.as_array().at(1)),
+                              duration(number<std::int64_t>(s.as_array().at(2)))});
+    return c;
+}
+
+json::array encode_peer(peer_address const& p)
+{
+    return {p.ip, p.zone};
+}
+
+peer_address decode_peer(json::value const& v)
+{
+    return {number<std::uint32_t>(v.as_array().at(0)), text(v.as_array().at(1))};
+}
+
+json::value parse(std::string_view text)
+{
+    return json::parse(json::string_view(text.data(), text.size()));
+}
+
+// Runs a decoder; whatever another host sent wrong is a message that cannot be read.
+template<class Decode>
+auto attempt(Decode decode) -> std::optional<decltype(decode())>
+{
+    try
+    {
+        return decode();
+    }
+    catch (std::exception const&)
+    {
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+std::string encode_beat(peer_beat const& b)
+{
+    json::array loads;
+    for (reported_load const& l : b.loads)
+        loads.push_back(json::array{l.upstream.value, l.flows, l.waiting});
+    json::array suspects;
+    for (flow_token const t : b.suspects)
+        suspects.push_back(t.value);
+    json::array others;
+    for (peer_address const& p : b.others)
+        others.push_back(encode_peer(p));
+    return json::serialize(json::array{beat_layout, encode_peer(b.sender), b.leaving, b.as_of,
+                                       b.digest, b.config_version, b.view_age_ms, std::move(loads),
+                                       std::move(suspects), std::move(others)});
+}
+
+std::optional<peer_beat> decode_beat(std::string_view bytes)
+{
+    return attempt(
+        [&]
+        {
+            json::value const v = parse(bytes);
+            auto const& row = v.as_array();
+            if (number<std::int64_t>(row.at(0)) != beat_layout)
+                throw std::out_of_range("unknown layout");
+            peer_beat b;
+            b.sender = decode_peer(row.at(1));
+            b.leaving = row.at(2).as_bool();
+            b.as_of = number<std::uint64_t>(row.at(3));
+            b.digest = number<std::uint64_t>(row.at(4));
+            b.config_version = number<std::uint64_t>(row.at(5));
+            b.view_age_ms = number<std::uint32_t>(row.at(6));
+            for (json::value const& l : row.at(7).as_array())
+                b.loads.push_back({{number<std::uint32_t>(l.as_array().at(0))},
+                                   number<std::uint32_t>(l.as_array().at(1)),
+                                   number<std::uint32_t>(l.as_array().at(2))});
+            for (json::value const& t : row.at(8).as_array())
+                b.suspects.push_back({number<std::uint32_t>(t)});
+            for (json::value const& p : row.at(9).as_array())
+                b.others.push_back(decode_peer(p));
+            return b;
+        });
+}
+
+std::string encode_view(peer_view const& v)
+{
+    json::array zones;
+    for (std::string const& z : v.operators.evacuated_zones)
+        zones.push_back(json::string(z));
+    json::array upstreams;
+    for (upstream_entry const& e : v.upstreams.entries)
+        upstreams.push_back(encode_upstream(e));
+    return json::serialize(json::array{view_layout, v.view_age_ms, v.operators.as_of,
+                                       encode_config(v.operators.config), std::move(zones),
+                                       v.upstreams.as_of, std::move(upstreams)});
+}
+
+std::optional<peer_view> decode_view(std::string_view bytes)
+{
+    return attempt(
+        [&]
+        {
+            json::value const v = parse(bytes);
+            auto const& row = v.as_array();
+            if (number<std::int64_t>(row.at(0)) != view_layout)
+                throw std::out_of_range("unknown layout");
+            peer_view out;
+            out.view_age_ms = number<std::uint32_t>(row.at(1));
+            out.operators.as_of = number<std::uint64_t>(row.at(2));
+            out.operators.config = decode_config(row.at(3));
+            for (json::value const& z : row.at(4).as_array())
+                out.operators.evacuated_zones.insert(text(z));
+            out.upstreams.as_of = number<std::uint64_t>(row.at(5));
+            for (json::value const& e : row.at(6).as_array())
+                out.upstreams.entries.push_back(decode_upstream(e));
+            return out;
+        });
+}
+
+} // namespace chivelever
--- /dev/null
+++ b/protocol/edge_settings.cpp
@@ -0,0 +1,147 @@
+#include "protocol/edge_settings.hpp"
+
+#include "protocol/ini_lines.hpp"
+
+#include <boost/algorithm/string/classification.hpp>
+#include <boost/algorithm/string/split.hpp>
+#include <boost/algorithm/string/trim.hpp>
+#include <boost/property_tree/ini_parser.hpp>
+#include <sstream>
+
+namespace chivelever
+{
+
+namespace
+{
+
+namespace pt = boost::property_tree;
+
+constexpr double max_bound = 1e6;
+constexpr int default_grace_s = 6;
+
+// Reads keys of one file and collects what is wrong with them.
+class ini_reader
+{
+public:
+    ini_reader(pt::ptree const& tree, ini_lines const& lines, std::string file, findings& problems)
+        : tree_(tree), lines_(lines), file_(std::move(file)), problems_(problems)
+    {
+    }
+
+    std::string text(std::string const& section, std::string const& key, bool needed = true)
+    {
+        std::string value = tree_.get(section + "." + key, std::string());
+        boost::algorithm::trim(value);
+        if (value.empty() && needed)
+            report(section, key, "is missing");
+        return value;
+    }
+
+    endpoint address(std::string const& section, std::string const& key)
+    {
+        std::string const value = text(section, key);
+        endpoint const e = parse_endpoint(value);
+        if (!e.is_set() && !value.empty())
+            report(section, key, "\"" + value + "\" is not IPv4:port");
+        return e;
+    }
+
+    std::uint32_t ip(std::string const& section, std::string const& key)
+    {
+        std::string const value = text(section, key);
+        endpoint const e = parse_endpoint(value + ":1");
+        if (!e.is_set() && !value.empty())
+            report(section, key, "\"" + value + "\" is not an IPv4 address");
+        return e.address;
+    }
+
+    double number(std::string const& section, std::string const& key, double fallback)
+    {
+        std::string const value = text(section, key, false);
+        if (value.empty())
+            return fallback;
+        std::istringstream in(value);
+        double number{};
+        if (in >> number && in.eof() && number >= 0 && number <= max_bound)
+            return number;
+        report(section, key, "\"" + value + "\" is not a number from 0 to 1000000");
+        return fallback;
+    }
+
+    std::vector<std::string> list(std::string const& section, std::string const& key, bool needed)
+    {
+        std::string const value = text(section, key, needed);
+        std::vector<std::string> parts;
+        if (!value.empty())
+            boost::algorithm::split(parts, value, boost::algorithm::is_any_of(","));
+        for (std::string& p : parts)
+            boost::algorithm::trim(p);
+        return parts;
+    }
+
+    void report(std::string const& section, std::string const& key, std::string message)
+    {
+        auto const at = lines_.keys.find({section, key});
+        problems_.push_back(
+            {file_, section, key, at == lines_.keys.end() ? 0 : at->second, std::move(message)});
+    }
+
+private:
+    pt::ptree const& tree_;
+    ini_lines const& lines_;
+    std::string file_;
+    findings& problems_;
+};
+
+std::uint16_t first_port(ini_reader& in)
+{
+    auto const range = in.list("host", "ports", true);
+    int port{};
+    std::istringstream first(range.empty() ? "" : range.front());
+    if (first >> port && port > 0 && port <= 65535)
+        return static_cast<std::uint16_t>(port);
+    in.report("host", "ports", "does not begin with a port");
+    return 0;
+}
+
+} // namespace
+
+std::optional<edge_settings> parse_edge_settings(std::string_view text, std::string const& file,
+                                                 findings& problems)
+{
+    ini_lines const lines = scan_ini(text, file);
+    problems.insert(problems.end(), lines.problems.begin(), lines.problems.end());
+    pt::ptree tree;
+    std::istringstream stream(lines.text);
+    try
+    {
+        pt::read_ini(stream, tree);
+    }
+    catch (pt::ini_parser_error const& e)
+    {
+        problems.push_back({file, "", "", static_cast<int>(e.line()), e.message()});
+        return std::nullopt;
+    }
+    std::size_t const before = problems.size();
+    ini_reader in(tree, lines, file, problems);
+    edge_settings s;
+    s.name = in.text("host", "name");
+    s.zone = in.text("host", "zone");
+    s.ip = in.ip("host", "address");
+    s.peer_port = first_port(in);
+    for (std::string const& seed : in.list("host", "seeds", false))
+        if (endpoint const e = parse_endpoint(seed); e.is_set())
+            s.seeds.push_back(e.address);
+    s.packets = in.address("listen", "packets");
+    s.ready = in.address("listen", "ready");
+    s.store = in.address("store", "address");
+    s.cold_overage = in.number("bounds", "cold_overage", s.cold_overage);
+    s.cold_slack = in.number("bounds", "cold_slack", s.cold_slack);
+    s.grace = std::chrono::milliseconds(
+        static_cast<std::int64_t>(in.number("bounds", "grace_s", default_grace_s) * 1000));
+    if (problems.size() > before)
+        return std::nullopt;
+    return s;
+}
+
+} // namespace chivelever
--- a/protocol/protocol.hpp
+++ b/protocol/protocol.hpp
@@ -5,6 +5,8 @@
 // IWYU pragma: begin_exports
 #include "protocol/codec.hpp"
 #include "protocol/config_json.hpp"
+#include "protocol/edge_codec.hpp"
+#include "protocol/edge_settings.hpp"
 #include "protocol/settings.hpp"
 // IWYU pragma: end_exports
 
--- /dev/null
+++ b/state/edge_types.cpp
@@ -0,0 +1,14 @@
+#include "state/edge_types.hpp"
+
+#include "state/hash.hpp"
+
+namespace chivelever
+{
+
+flow_token token_of(std::string_view upstream_name)
+{
+    auto const folded = static_cast<std::uint32_t>(hash_bytes(upstream_name));
+    return {folded == 0 ? 1U : folded};
+}
+
+} // namespace chivelever
--- /dev/null
+++ b/transport/event_loop.cpp
@@ -0,0 +1,133 @@
+#include "transport/event_loop.hpp"
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <ctime>
+
+namespace chivelever
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+// The largest datagram: a beat of a host that reports a load on several hundred upstreams.
+constexpr std::size_t max_datagram_bytes = 16 * 1024;
+// Datagrams that are handled before other work of the loop gets its turn.
+constexpr int datagrams_at_once = 64;
+
+} // namespace
+
+time_point boot_time_now()
+{
+    timespec t{};
+    ::clock_gettime(CLOCK_BOOTTIME, &t);
+    return time_point{std::chrono::seconds(t.tv_sec) + duration(t.tv_nsec / 1000)};
+}
+
+struct loop_timers::subscription::entry : std::enable_shared_from_this<entry>
+{
+    entry(asio::io_context& io, duration p, std::function<void(time_point)> f)
+        : timer(io), period(p), call(std::move(f))
+    {
+    }
+
+    void arm()
+    {
+        timer.expires_after(period);
+        timer.async_wait(
+            [self = shared_from_this()](boost::system::error_code e)
+            {
+                if (e || self->ended)
+                    return;
+                self->call(boot_time_now());
+                self->arm();
+            });
+    }
+
+    asio::steady_timer timer;
+    duration period;
+    std::function<void(time_point)> call;
+    bool ended{false};
+};
+
+loop_timers::subscription::~subscription()
+{
+    if (!entry_)
+        return;
+    entry_->ended = true;
+    entry_->timer.cancel();
+}
+
+loop_timers::subscription& loop_timers::subscription::operator=(subscription&& other) noexcept
+{
+    std::swap(entry_, other.entry_);
+    return *this;
+}
+
+loop_timers::subscription loop_timers::subscribe(duration period, std::function<void(time_point)> f)
+{
+    auto e = std::make_shared<subscription::entry>(io_, period, std::move(f));
+    e->arm();
+    return subscription(std::move(e));
+}
+
+asio::awaitable<void> sleep_for(duration time)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    timer.expires_after(time);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+loop_udp::loop_udp(asio::io_context& io, endpoint local, handler h)
+    : socket_(io, asio::ip::udp::endpoint(asio::ip::address_v4(local.address), local.port)),
+      handler_(std::move(h))
+{
+    socket_.non_blocking(true);
+    wait();
+}
+
+void loop_udp::wait()
+{
+    socket_.async_wait(asio::ip::udp::socket::wait_read,
+                       [this](boost::system::error_code e)
+                       {
+                           if (e == asio::error::operation_aborted)
+                               return;
+                           read_all();
+                           wait();
+                       });
+}
+
+void loop_udp::read_all()
+{
+    static std::array<char, max_datagram_bytes> buffer;
+    for (int i = 0; i < datagrams_at_once; ++i)
+    {
+        asio::ip::udp::endpoint from;
+        boost::system::error_code e;
+        std::size_t const n = socket_.receive_from(asio::buffer(buffer), from, 0, e);
+        // A port that answered an earlier datagram with "unreachable" is no reason to stop reading.
+        if (e == asio::error::connection_refused)
+            continue;
+        if (e)
+            return;
+        handler_({buffer.data(), n}, {from.address().to_v4().to_uint(), from.port()});
+    }
+}
+
+bool loop_udp::send(endpoint to, std::string_view bytes)
+{
+    boost::system::error_code e;
+    socket_.send_to(asio::buffer(bytes.data(), bytes.size()),
+                    asio::ip::udp::endpoint(asio::ip::address_v4(to.address), to.port), 0, e);
+    if (e)
+        ++send_failures_;
+    return !e;
+}
+
+} // namespace chivelever
--- /dev/null
+++ b/transport/event_loop.hpp
@@ -0,0 +1,77 @@
+// The loop of a process of one thread, with the timer service and datagram sockets on it. On the
+// platform a host has a quarter of one core, so that a second thread would only add switches.
+#ifndef CHIVELEVER_TRANSPORT_EVENT_LOOP_HPP
+#define CHIVELEVER_TRANSPORT_EVENT_LOOP_HPP
+
+#include "state/state.hpp"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <functional>
+#include <memory>
+#include <string_view>
+
+namespace chivelever
+{
+
+// Time since the machine started, with the time that it was suspended: after a suspension
+// everything that this host knows is that much older.
+time_point boot_time_now();
+
+// Calls subscribers from the loop; a model of the timer_service concept.
+class loop_timers
+{
+public:
+    // Ends the subscription when destroyed.
+    class subscription
+    {
+    public:
+        subscription() = default;
+        struct entry;
+        explicit subscription(std::shared_ptr<entry> e) : entry_(std::move(e)) {}
+        ~subscription();
+        subscription(subscription&&) noexcept = default;
+        subscription& operator=(subscription&& other) noexcept;
+        subscription(subscription const&) = delete;
+        subscription& operator=(subscription const&) = delete;
+
+    private:
+        std::shared_ptr<entry> entry_;
+    };
+
+    explicit loop_timers(boost::asio::io_context& io) : io_(io) {}
+    time_point now() const { return boot_time_now(); }
+    [[nodiscard]] subscription subscribe(duration period, std::function<void(time_point)> f);
+
+private:
+    boost::asio::io_context& io_;
+};
+
+// Waits in a coroutine.
+boost::asio::awaitable<void> sleep_for(duration time);
+
+// A datagram socket whose handler the loop calls for each datagram that has arrived.
+class loop_udp
+{
+public:
+    using handler = std::function<void(std::string_view bytes, endpoint source)>;
+
+    // Throws boost::system::system_error if the address cannot be bound.
+    loop_udp(boost::asio::io_context& io, endpoint local, handler h);
+    // False if the kernel did not take the datagram.
+    bool send(endpoint to, std::string_view bytes);
+    std::uint64_t send_failures() const { return send_failures_; }
+
+private:
+    void wait();
+    void read_all();
+
+    boost::asio::ip::udp::socket socket_;
+    handler handler_;
+    std::uint64_t send_failures_{};
+};
+
+} // namespace chivelever
+
+#endif
--- a/transport/log.cpp
+++ b/transport/log.cpp
@@ -1,10 +1,14 @@
 #include "transport/log.hpp"
 
+#include "transport/bounded_output.hpp"
+
 #include <array>
 #include <boost/log/attributes/constant.hpp>
 #include <boost/log/attributes/mutable_constant.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/unlocked_frontend.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/support/date_time.hpp>
@@ -14,6 +18,7 @@
 #include <iostream>
 #include <map>
 #include <mutex>
+#include <unistd.h>
 
 namespace chivelever::log
 {
@@ -23,7 +28,8 @@
 
 namespace bl = boost::log;
 
-constexpr int max_lines_per_second = 20;
+// Enough to see what repeats; a host without disks has nowhere to keep more.
+constexpr int default_lines_per_second = 20;
 constexpr std::array<std::string_view, 4> names{"debug", "info", "warning", "error"};
 
 // Lines of one event in the present second.
@@ -37,6 +43,25 @@
 std::mutex rate_mutex;
 std::map<std::string, event_rate, std::less<>> rates;
 std::string host_name;
+int lines_per_second = default_lines_per_second;
+std::uint64_t suppressed_total = 0;
+
+bounded_output& standard_output()
+{
+    static bounded_output out(STDOUT_FILENO);
+    return out;
+}
+
+// Hands formatted lines to the output that never blocks.
+class unblocking_backend
+    : public bl::sinks::basic_formatted_sink_backend<char, bl::sinks::concurrent_feeding>
+{
+public:
+    static void consume(bl::record_view const&, std::string const& line)
+    {
+        standard_output().add(line);
+    }
+};
 
 // Whether to write, and how many lines were left out since the last one.
 bool admit(std::string_view event, int& suppressed)
@@ -52,9 +77,10 @@
         r.second = now;
         r.lines = 0;
     }
-    if (++r.lines > max_lines_per_second)
+    if (++r.lines > lines_per_second)
     {
         ++r.suppressed;
+        ++suppressed_total;
         return false;
     }
     suppressed = std::exchange(r.suppressed, 0);
@@ -84,20 +110,55 @@
 
 } // namespace
 
+namespace
+{
+
+auto line_format()
+{
+    return bl::expressions::stream << "time="
+                                   << bl::expressions::format_date_time<boost::posix_time::ptime>(
+                                          "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
+                                   << " " << bl::expressions::smessage;
+}
+
+} // namespace
+
 void start(severity lowest, std::string host)
 {
     host_name = std::move(host);
     bl::add_common_attributes();
     bl::add_console_log(std::clog, bl::keywords::auto_flush = true,
-                        bl::keywords::format =
-                            (bl::expressions::stream
-                             << "time="
-                             << bl::expressions::format_date_time<boost::posix_time::ptime>(
-                                    "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
-                             << " " << bl::expressions::smessage));
+                        bl::keywords::format = line_format());
     set_severity(lowest);
 }
 
+void start_unblocking(severity lowest, std::string host, int max_lines_per_second)
+{
+    host_name = std::move(host);
+    lines_per_second = max_lines_per_second;
+    bl::add_common_attributes();
+    auto sink = boost::make_shared<bl::sinks::unlocked_sink<unblocking_backend>>();
+    sink->set_formatter(line_format());
+    bl::core::get()->add_sink(sink);
+    set_severity(lowest);
+}
+
+void flush()
+{
+    standard_output().flush();
+}
+
+std::uint64_t dropped_lines()
+{
+    return standard_output().dropped();
+}
+
+std::uint64_t suppressed_lines()
+{
+    std::lock_guard const lock(rate_mutex);
+    return suppressed_total;
+}
+
 void set_severity(severity lowest)
 {
     bl::core::get()->set_filter(bl::expressions::attr<severity>("Severity") >= lowest);
--- /dev/null
+++ b/transport/loop_http.cpp
@@ -0,0 +1,158 @@
+#include "transport/loop_http.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/scope_exit.hpp>
+
+namespace chivelever
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+// The largest page of the store is 1 MB of values; base64 and JSON add a third and a little.
+constexpr std::size_t max_reply_bytes = 4 * 1024 * 1024;
+constexpr std::size_t max_request_bytes = 8 * 1024;
+// A caller that says nothing for this long loses its connection; probes come twice a second.
+constexpr duration idle_limit = 10s;
+// Descriptors are limited; probes, metrics and other hosts need a few dozen.
+constexpr int max_connections = 256;
+
+asio::awaitable<void> serve(asio::ip::tcp::socket socket, http_handler const& handler, int& open)
+{
+    ++open;
+    BOOST_SCOPE_EXIT_ALL(&open)
+    {
+        --open;
+    };
+    beast::tcp_stream stream(std::move(socket));
+    stream.socket().set_option(asio::ip::tcp::no_delay(true));
+    beast::flat_buffer buffer(max_request_bytes);
+    bool keep = true;
+    while (keep)
+    {
+        stream.expires_after(idle_limit);
+        http::request<http::string_body> request;
+        co_await http::async_read(stream, buffer, request, asio::use_awaitable);
+        auto const method = request.method_string();
+        std::string const target(request.target());
+        auto const query = target.find('?');
+        http_request call{
+            {method.data(), method.size()}, target.substr(0, query), "", request.body(), ""};
+        if (query != std::string::npos)
+            call.query = target.substr(query + 1);
+        http_response answer = handler(call);
+        http::response<http::string_body> response{
+            static_cast<http::status>(static_cast<unsigned>(answer.status)), request.version(),
+            std::move(answer.body)};
+        response.set(http::field::content_type, answer.content_type);
+        keep = request.keep_alive();
+        response.keep_alive(keep);
+        response.prepare_payload();
+        co_await http::async_write(stream, response, asio::use_awaitable);
+    }
+}
+
+} // namespace
+
+void http_connection::set_server(endpoint server)
+{
+    if (server == server_)
+        return;
+    server_ = server;
+    stream_.reset();
+}
+
+asio::awaitable<std::optional<http_reply>>
+http_connection::call(std::string method, std::string target, std::string body, duration limit)
+{
+    // The server may close an idle connection at any time. A read is repeated once on a new one; a
+    // write is not, since it may have been done.
+    bool const repeat = stream_.has_value() && method == "GET";
+    for (int attempt = repeat ? 0 : 1; attempt < 2; ++attempt)
+    {
+        try
+        {
+            co_return co_await exchange(method, target, body, limit);
+        }
+        catch (boost::system::system_error const& e)
+        {
+            stream_.reset();
+            if (e.code() == beast::error::timeout)
+                break;
+        }
+    }
+    co_return std::nullopt;
+}
+
+asio::awaitable<std::optional<http_reply>>
+http_connection::exchange(std::string method, std::string target, std::string body, duration limit)
+{
+    http::request<http::string_body> request;
+    request.method_string(method);
+    request.target(target);
+    request.version(11);
+    request.set(http::field::host, to_string(server_));
+    request.set(http::field::content_type, "application/json");
+    request.keep_alive(true);
+    request.body() = std::move(body);
+    request.prepare_payload();
+    if (!stream_)
+    {
+        stream_.emplace(io_);
+        buffer_.clear();
+        stream_->expires_after(limit);
+        co_await stream_->async_connect(
+            asio::ip::tcp::endpoint(asio::ip::address_v4(server_.address), server_.port),
+            asio::use_awaitable);
+        stream_->socket().set_option(asio::ip::tcp::no_delay(true));
+    }
+    stream_->expires_after(limit);
+    co_await http::async_write(*stream_, request, asio::use_awaitable);
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(max_reply_bytes);
+    co_await http::async_read(*stream_, buffer_, parser, asio::use_awaitable);
+    stream_->expires_never();
+    bool const keep = parser.keep_alive();
+    auto response = parser.release();
+    http_reply reply{static_cast<int>(response.result_int()), std::move(response.body())};
+    if (!keep)
+        stream_.reset();
+    co_return reply;
+}
+
+http_listener::http_listener(asio::io_context& io, endpoint local, http_handler handler)
+    : acceptor_(io, asio::ip::tcp::endpoint(asio::ip::address_v4(local.address), local.port)),
+      handler_(std::move(handler))
+{
+    asio::co_spawn(io, accept(), asio::detached);
+}
+
+asio::awaitable<void> http_listener::accept()
+{
+    while (true)
+    {
+        boost::system::error_code e;
+        asio::ip::tcp::socket socket =
+            co_await acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, e));
+        if (e == asio::error::operation_aborted)
+            co_return;
+        if (e || connections_ >= max_connections)
+            continue;
+        // A connection that breaks off concerns nobody else.
+        asio::co_spawn(acceptor_.get_executor(), serve(std::move(socket), handler_, connections_),
+                       [](std::exception_ptr const&) {});
+    }
+}
+
+} // namespace chivelever
