--- a/coordination/edge_router.cpp
+++ b/coordination/edge_router.cpp
@@ -18,6 +18,9 @@
 // An unknown route is refused only under a configuration that was confirmed this recently; an older
 // one may lack a route that was just added.
 constexpr duration confirmed_within = 2s;
+// No answer to any request of an upstream for this long is worth a probe. Most requests take 20 to
+// 60 ms, few more than 100 ms.
+constexpr duration stall_limit = 100ms;
 // Flows idle for longer than callers keep them; used until a configuration says its own limit.
 constexpr duration default_idle = 60s;
 
@@ -97,7 +100,7 @@
     packet_decision d;
     d.flow = key;
     d.opens = true;
-    d.newly_suspected = health_.failure(flow.upstream, key, now);
+    d.newly_suspected = health_.failure(flow.upstream, now);
     d.suspect = flow.upstream;
     route_entry const* const route = view_.route(key.destination);
     if (flow.offers < most_offers && route != nullptr)
@@ -197,7 +200,7 @@
         health_.progress(flow.upstream, now);
     else if (d.seen.repeated)
     {
-        d.newly_suspected = health_.failure(flow.upstream, p.flow, now);
+        d.newly_suspected = health_.failure(flow.upstream, now);
         d.suspect = flow.upstream;
     }
 }
@@ -225,6 +228,32 @@
     return out;
 }
 
+std::vector<flow_token> edge_router::probes_due(time_point now)
+{
+    for (flow_token const t : flows_.stalled(now, stall_limit))
+        health_.stalled(t, now);
+    return health_.probes_due(now);
+}
+
+std::vector<packet_decision> edge_router::probed(flow_token upstream, bool answered, time_point now)
+{
+    std::vector<packet_decision> resets;
+    if (!health_.probed(upstream, answered, now))
+        return resets;
+    for (auto const& [ends, acknowledged] : flows_.flows_of(upstream))
+    {
+        packet_decision d;
+        d.action = packet_action::reset;
+        d.reason = packet_reason::upstream_silent;
+        d.flow = ends;
+        d.token = upstream;
+        d.reset_sequence = acknowledged;
+        resets.push_back(d);
+        flows_.erase(ends);
+    }
+    return resets;
+}
+
 time_point edge_router::next_due() const
 {
     return waiting_.empty() ? time_point{} : waiting_.front().due;
@@ -234,6 +263,7 @@
 {
     duration const limit = view_.idle_limit();
     flows_.expire(now, limit == duration{} ? default_idle : limit);
+    health_.expire(now);
 }
 
 } // namespace chivelever
--- a/coordination/edge_router.hpp
+++ b/coordination/edge_router.hpp
@@ -89,6 +89,11 @@
     std::vector<repeated_offer> due(time_point now);
     // When `due` has something to do next; zero: nothing waits.
     time_point next_due() const;
+    // Upstreams to which a connection should be tried, to learn whether they live.
+    std::vector<flow_token> probes_due(time_point now);
+    // The result of such an attempt. An upstream that is found silent has all its flows reset, so
+    // that their callers can try elsewhere within their time.
+    std::vector<packet_decision> probed(flow_token upstream, bool answered, time_point now);
     // Forgets idle flows.
     void expire(time_point now);
 
--- a/coordination/flow_table.cpp
+++ b/coordination/flow_table.cpp
@@ -6,6 +6,11 @@
 namespace
 {
 
+using namespace std::chrono_literals;
+
+// Callers send bytes again after 200 ms; packets on the way overtake each other by a few ms.
+constexpr duration repetition_after = 150ms;
+
 // Whether sequence a is later than b, modulo 2^32.
 bool later(std::uint32_t a, std::uint32_t b)
 {
@@ -25,7 +30,9 @@
     if (flow.request_at != time_point{})
         return;
     flow.request_at = now;
-    ++loads_[flow.upstream.value].waiting;
+    upstream_load& load = loads_[flow.upstream.value];
+    if (load.waiting++ == 0)
+        load.quiet_since = now;
 }
 
 void flow_table::stop_waiting(flow_record& flow)
@@ -91,11 +98,13 @@
         flow.phase = flow_phase::open;
         flow.acknowledged = p.acknowledged;
         seen.answered = true;
+        loads_[flow.upstream.value].quiet_since = now;
     }
     else if (p.ack && later(p.acknowledged, flow.acknowledged))
     {
         flow.acknowledged = p.acknowledged;
         seen.answered = true;
+        loads_[flow.upstream.value].quiet_since = now;
         if (flow.request_at != time_point{})
             seen.answer_time = now - flow.request_at;
         stop_waiting(flow);
@@ -108,10 +117,12 @@
             seen.request =
                 flow.request_at == time_point{} || flow.sent_end == flow.first_sequence + 1;
             flow.sent_end = end;
+            flow.data_at = now;
             start_waiting(flow, now);
         }
         else
-            seen.repeated = true;
+            // Packets that overtook each other are no repetition.
+            seen.repeated = now - flow.data_at > repetition_after;
     }
     if (p.fin)
     {
@@ -132,7 +143,6 @@
 
 void flow_table::expire(time_point now, duration idle)
 {
-    using namespace std::chrono_literals;
     // A closed flow may still repeat its last packets, and an opening is given up after 1.4 s.
     constexpr duration closing_life = 2s;
     constexpr duration opening_life = 2s;
@@ -152,6 +162,24 @@
     }
 }
 
+std::vector<flow_token> flow_table::stalled(time_point now, duration limit) const
+{
+    std::vector<flow_token> out;
+    for (auto const& [token, load] : loads_)
+        if (load.waiting > 0 && now - load.quiet_since > limit)
+            out.push_back({token});
+    return out;
+}
+
+std::vector<std::pair<flow_ends, std::uint32_t>> flow_table::flows_of(flow_token upstream) const
+{
+    std::vector<std::pair<flow_ends, std::uint32_t>> out;
+    for (auto const& [ends, flow] : flows_)
+        if (flow.upstream == upstream && flow.phase == flow_phase::open)
+            out.emplace_back(ends, flow.acknowledged);
+    return out;
+}
+
 upstream_load flow_table::load(flow_token upstream) const
 {
     auto const it = loads_.find(upstream.value);
--- a/coordination/flow_table.hpp
+++ b/coordination/flow_table.hpp
@@ -11,6 +11,8 @@
 #include <functional>
 #include <optional>
 #include <unordered_map>
+#include <utility>
+#include <vector>
 
 namespace chivelever
 {
@@ -32,6 +34,7 @@
     time_point opened;
     time_point last_seen;
     time_point request_at; // of the request that waits for its answer; zero: none
+    time_point data_at;    // of the caller's latest new bytes
     flow_phase phase{flow_phase::opening};
     std::uint8_t offers{}; // upstreams that the opening was sent to
     bool operator==(flow_record const&) const = default;
@@ -41,7 +44,8 @@
 struct upstream_load
 {
     std::uint32_t flows{};
-    std::uint32_t waiting{}; // requests without an answer, openings included
+    std::uint32_t waiting{};  // requests without an answer, openings included
+    time_point quiet_since{}; // first request that waits, or latest answer after it
     auto operator<=>(upstream_load const&) const = default;
 };
 
@@ -68,8 +72,12 @@
     void offer(flow_record& flow, flow_token upstream);
     flow_observation observe(flow_record& flow, flow_packet const& p, time_point now);
     void erase(flow_ends const& key);
-    // Forgets flows that were idle for longer than `idle`; visits at most a part of the table.
+    // Forgets flows that were idle for longer than `idle`.
     void expire(time_point now, duration idle);
+    // Upstreams of which a request waits and that have answered nothing for `limit`.
+    std::vector<flow_token> stalled(time_point now, duration limit) const;
+    // The open flows of one upstream, with what their callers have acknowledged last.
+    std::vector<std::pair<flow_ends, std::uint32_t>> flows_of(flow_token upstream) const;
 
     upstream_load load(flow_token upstream) const;
     std::unordered_map<std::uint32_t, upstream_load> const& loads() const { return loads_; }
--- a/coordination/peer_exchange.cpp
+++ b/coordination/peer_exchange.cpp
@@ -14,8 +14,10 @@
 constexpr duration read_interval = 500ms;
 // Random part for each host of the fleet: the first of n hosts then reads this much later on
 // average, and its announcement reaches the others before the next one's turn.
-constexpr duration spread_per_host = 25ms;
+constexpr duration spread_per_host = 50ms;
 constexpr duration spread_maximum = 600ms;
+// Between readings while the store holds no configuration yet.
+constexpr duration empty_interval = 100ms;
 // After a failed reading; doubled with each further one.
 constexpr duration backoff_base = 150ms;
 constexpr duration backoff_maximum = 1200ms;
@@ -70,7 +72,7 @@
     if (b.config_version == 0)
         return out;
     bool const same = b.digest == own.digest && b.config_version == own.config_version;
-    out.confirms = same && b.as_of > own.as_of && p.view_confirmed > own.confirmed_at;
+    out.confirms = same && b.as_of >= own.as_of && p.view_confirmed > own.confirmed_at;
     out.newer = !same && (b.as_of > own.as_of || own.config_version == 0);
     return out;
 }
@@ -132,10 +134,11 @@
     not_before_ = now + wait / 2 + duration(static_cast<duration::rep>(random_() % half));
 }
 
-void peer_exchange::read_done()
+void peer_exchange::read_done(time_point now)
 {
     failures_ = 0;
-    not_before_ = {};
+    // Before the first configuration exists, readings show nothing that confirms a view.
+    not_before_ = now + empty_interval;
 }
 
 std::optional<std::uint32_t> peer_exchange::source(view_version const& own, time_point now)
--- a/coordination/peer_exchange.hpp
+++ b/coordination/peer_exchange.hpp
@@ -47,7 +47,7 @@
     time_point next_read(view_version const& own, time_point now);
     // The reading failed or was refused: back off, while others may serve.
     void read_failed(time_point now);
-    void read_done();
+    void read_done(time_point now);
 
     // A host whose view is newer than this one's, to fetch it from; one at random of several.
     std::optional<std::uint32_t> source(view_version const& own, time_point now);
--- a/coordination/upstream_health.cpp
+++ b/coordination/upstream_health.cpp
@@ -17,14 +17,21 @@
 constexpr duration suspicion_maximum = 3200ms;
 // How long the report of another host counts.
 constexpr duration peer_report_life = 600ms;
-// An upstream is silent when at least this many flows failed over at least this span, with no
-// progress of any of its flows in between and progress of others.
-constexpr int silent_flows = 3;
-constexpr duration silent_span = 250ms;
+// An upstream that fails nothing but probes needs this many failed ones in a row to count as
+// silent; with a failed opening or request beside them one is enough.
+constexpr std::uint32_t probes_alone = 2;
+// Others must have answered this recently, or the fault may be on this host's side.
 constexpr duration others_progress = 300ms;
+// Between two probes of one upstream while it is doubted, and once it has failed several.
+constexpr duration probe_interval = 150ms;
+constexpr duration probe_interval_silent = 600ms;
+constexpr std::uint32_t early_probes = 4;
+// A doubt without anything new is dropped after this time; by then the entry has lapsed.
+constexpr duration doubt_life = 6s;
 // The host itself is cut off when at least two upstreams fail and none answers for this long.
 constexpr int isolated_upstreams = 2;
 constexpr duration isolated_span = 700ms;
+constexpr duration forget_after = 90s;
 
 std::uint64_t bit_of(std::uint64_t hash)
 {
@@ -33,34 +40,85 @@
 
 } // namespace
 
+bool upstream_health::others_answer(time_point now) const
+{
+    return now - last_progress_ < others_progress;
+}
+
+bool upstream_health::is_silent(record const& r, time_point now) const
+{
+    if (r.failed_probes == 0 || r.last_progress > r.probed_at)
+        return false;
+    return (r.failed_probes >= probes_alone || r.failures > 0) && others_answer(now);
+}
+
 void upstream_health::progress(flow_token upstream, time_point now)
 {
     record& r = records_[upstream.value];
     r.last_progress = now;
     r.failures = 0;
-    r.failed_flows = 0;
+    r.failed_probes = 0;
+    r.doubted = {};
     last_progress_ = now;
     failed_upstreams_ = 0;
 }
 
-bool upstream_health::failure(flow_token upstream, flow_ends const& flow, time_point now)
+bool upstream_health::failure(flow_token upstream, time_point now)
 {
     bool const was = verdict(upstream, now) != upstream_verdict::working;
     record& r = records_[upstream.value];
-    if (r.failures == 0)
-        r.first_failure = now;
     ++r.failures;
     r.last_failure = now;
-    r.failed_flows |= bit_of(hash_value(flow));
+    r.doubted = now;
     if (failed_upstreams_ == 0)
         first_failure_ = now;
     failed_upstreams_ |= bit_of(hash_pair(upstream.value, 0));
     return !was;
 }
 
+void upstream_health::stalled(flow_token upstream, time_point now)
+{
+    records_[upstream.value].doubted = now;
+}
+
 void upstream_health::peer_suspects(flow_token upstream, time_point now)
 {
-    records_[upstream.value].peer_report = now;
+    record& r = records_[upstream.value];
+    r.peer_report = now;
+    r.doubted = now;
+}
+
+std::vector<flow_token> upstream_health::probes_due(time_point now)
+{
+    std::vector<flow_token> out;
+    for (auto& [token, r] : records_)
+    {
+        bool const doubted = r.doubted != time_point{} && now - r.doubted < doubt_life;
+        duration const interval =
+            r.failed_probes < early_probes ? probe_interval : probe_interval_silent;
+        bool const paused = r.probed_at != time_point{} && now - r.probed_at < interval;
+        if (!doubted || paused || r.probing)
+            continue;
+        r.probing = true;
+        out.push_back({token});
+    }
+    return out;
+}
+
+bool upstream_health::probed(flow_token upstream, bool answered, time_point now)
+{
+    record& r = records_[upstream.value];
+    r.probing = false;
+    bool const was = is_silent(r, now);
+    r.probed_at = now;
+    if (answered)
+    {
+        r.failed_probes = 0;
+        r.doubted = {};
+        return false;
+    }
+    ++r.failed_probes;
+    return !was && is_silent(r, now);
 }
 
 upstream_verdict upstream_health::verdict(flow_token upstream, time_point now) const
@@ -69,19 +127,21 @@
     if (it == records_.end())
         return upstream_verdict::working;
     record const& r = it->second;
+    if (is_silent(r, now))
+        return upstream_verdict::silent;
+    if (r.failed_probes > 0 && r.last_progress < r.probed_at)
+        return upstream_verdict::suspected;
     if (r.failures > 0)
     {
-        bool const others_answer = now - last_progress_ < others_progress;
-        if (others_answer && std::popcount(r.failed_flows) >= silent_flows &&
-            r.last_failure - r.first_failure >= silent_span)
-            return upstream_verdict::silent;
         duration const span = std::min<duration>(
             suspicion_maximum, suspicion_base * (1 << std::min<std::uint32_t>(r.failures - 1, 4)));
         if (now - r.last_failure < span)
             return upstream_verdict::suspected;
     }
     bool const reported = r.peer_report != time_point{} && now - r.peer_report < peer_report_life;
-    bool const answered_since = r.last_progress > r.peer_report;
+    bool const answered_since =
+        std::max(r.last_progress, r.failed_probes == 0 ? r.probed_at : time_point{}) >
+        r.peer_report;
     return reported && !answered_since ? upstream_verdict::suspected : upstream_verdict::working;
 }
 
@@ -89,7 +149,8 @@
 {
     std::vector<flow_token> out;
     for (auto const& [token, r] : records_)
-        if (r.failures > 0 && verdict({token}, now) != upstream_verdict::working)
+        if ((r.failures > 0 || r.failed_probes > 0) &&
+            verdict({token}, now) != upstream_verdict::working)
             out.push_back({token});
     return out;
 }
@@ -100,4 +161,16 @@
            now - first_failure_ >= isolated_span && now - last_progress_ >= isolated_span;
 }
 
+void upstream_health::expire(time_point now)
+{
+    std::erase_if(records_,
+                  [&](auto const& item)
+                  {
+                      record const& r = item.second;
+                      time_point const last = std::max(
+                          {r.last_progress, r.last_failure, r.peer_report, r.doubted, r.probed_at});
+                      return !r.probing && now - last > forget_after;
+                  });
+}
+
 } // namespace chivelever
--- a/edge/edge_host.cpp
+++ b/edge/edge_host.cpp
@@ -19,6 +19,7 @@
 
 // Often enough that three lost beats are noticed within a second.
 constexpr duration beat_period = 200ms;
+constexpr duration probe_period = 20ms; // how late a probe may start
 constexpr duration expire_period = 500ms;
 constexpr duration log_flush_period = 100ms;
 // The settings file may change without a signal.
@@ -110,6 +111,7 @@
              router_.expire(now);
              peers_.expire(now);
          });
+    each(probe_period, [this](time_point now) { start_probes(now); });
     each(log_flush_period, [](time_point) { log::flush(); });
     each(settings_period, [this](time_point) { check_settings(); });
 }
--- a/edge/edge_host.hpp
+++ b/edge/edge_host.hpp
@@ -41,12 +41,14 @@
     void log_suspicion(packet_decision const& d);
     void offer_again(time_point now);
     void arm_offers();
+    void start_probes(time_point now);
+    boost::asio::awaitable<void> probe(flow_token upstream, endpoint address);
 
     // Knowledge (edge_knowledge.cpp).
     boost::asio::awaitable<void> read_store_forever();
     boost::asio::awaitable<bool> read_store();
     boost::asio::awaitable<std::optional<std::vector<platform::stored_item>>>
-    read_section(platform::section s, std::uint64_t& as_of);
+    read_section(platform::section s, bool may_be_stale, std::uint64_t& as_of);
     boost::asio::awaitable<void> register_host();
     boost::asio::awaitable<void> fetch_view();
     void apply_view(operator_listing const& operators, upstream_listing const& upstreams,
--- a/edge/edge_knowledge.cpp
+++ b/edge/edge_knowledge.cpp
@@ -47,7 +47,7 @@
         }
         bool const done = co_await read_store();
         if (done)
-            peers_.read_done();
+            peers_.read_done(boot_time_now());
         else
             peers_.read_failed(boot_time_now());
     }
@@ -58,10 +58,14 @@
     time_point const read_at = boot_time_now();
     std::uint64_t operators_as_of = 0;
     std::uint64_t upstreams_as_of = 0;
-    auto const operators = co_await read_section(platform::section::operators, operators_as_of);
+    auto const operators =
+        co_await read_section(platform::section::operators, false, operators_as_of);
     if (!operators)
         co_return false;
-    auto const upstreams = co_await read_section(platform::section::upstreams, upstreams_as_of);
+    // A reading that may be stale costs a tenth; its revision shows whether it is.
+    auto upstreams = co_await read_section(platform::section::upstreams, true, upstreams_as_of);
+    if (upstreams && upstreams_as_of < operators_as_of)
+        upstreams = co_await read_section(platform::section::upstreams, false, upstreams_as_of);
     if (!upstreams)
         co_return false;
     note_store(true, "");
@@ -77,14 +81,15 @@
 }
 
 asio::awaitable<std::optional<std::vector<platform::stored_item>>>
-edge_host::read_section(platform::section s, std::uint64_t& as_of)
+edge_host::read_section(platform::section s, bool may_be_stale, std::uint64_t& as_of)
 {
     std::vector<platform::stored_item> items;
     for (int page = 0; page < max_pages; ++page)
     {
         auto const request =
-            platform::range_request(s, items.empty() ? "" : items.back().key, false);
-        metrics_.count("store_calls_total", "calls to the store", "kind=\"range\"")++;
+            platform::range_request(s, items.empty() ? "" : items.back().key, may_be_stale);
+        metrics_.count("store_calls_total", "calls to the store",
+                       may_be_stale ? "kind=\"range_stale\"" : "kind=\"range\"")++;
         auto reply =
             co_await store_.call(request.method, request.target, request.body, store_call_limit);
         if (!reply || reply->status != http_ok)
--- a/edge/edge_packets.cpp
+++ b/edge/edge_packets.cpp
@@ -2,6 +2,8 @@
 #include "edge/edge_host.hpp"
 
 #include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 
 namespace chivelever
 {
@@ -9,6 +11,11 @@
 namespace
 {
 
+using namespace std::chrono_literals;
+
+// A connection within the region takes two round trips of 3 ms at most, and needs no free slot.
+constexpr duration probe_limit = 60ms;
+
 std::string name_of(flow_ends const& k)
 {
     return to_string(k.caller) + ">" + to_string(k.destination);
@@ -104,6 +111,41 @@
                {"cause", d.opens ? "opening unanswered" : "request repeated"}});
 }
 
+void edge_host::start_probes(time_point now)
+{
+    for (flow_token const t : router_.probes_due(now))
+    {
+        known_upstream const* const u = view_.find(t);
+        if (u == nullptr)
+        {
+            router_.probed(t, false, now);
+            continue;
+        }
+        boost::asio::co_spawn(io_, probe(t, u->entry.address), boost::asio::detached);
+    }
+}
+
+boost::asio::awaitable<void> edge_host::probe(flow_token upstream, endpoint address)
+{
+    bool const answered = co_await accepts_connections(address, probe_limit);
+    time_point const now = boot_time_now();
+    metrics_.count("probes_total", "connection attempts to doubtful upstreams",
+                   std::string("answered=\"") + (answered ? "yes" : "no") + "\"")++;
+    auto const resets = router_.probed(upstream, answered, now);
+    if (!resets.empty())
+    {
+        known_upstream const* const u = view_.find(upstream);
+        log::info("upstream.unreachable", {{"upstream", u != nullptr ? u->entry.name : ""},
+                                           {"address", to_string(address)},
+                                           {"flows_reset", std::to_string(resets.size())}});
+    }
+    for (packet_decision const& d : resets)
+    {
+        carry_out(d, {}, now);
+        log_decision(d, {}, now);
+    }
+}
+
 void edge_host::offer_again(time_point now)
 {
     for (repeated_offer const& r : router_.due(now))
--- a/transport/event_loop.cpp
+++ b/transport/event_loop.cpp
@@ -2,9 +2,11 @@
 
 #include <array>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
 #include <ctime>
 
 namespace chivelever
@@ -83,6 +85,17 @@
     co_await timer.async_wait(asio::use_awaitable);
 }
 
+asio::awaitable<bool> accepts_connections(endpoint address, duration limit)
+{
+    boost::beast::tcp_stream stream(co_await asio::this_coro::executor);
+    stream.expires_after(limit);
+    boost::system::error_code e;
+    co_await stream.async_connect(
+        asio::ip::tcp::endpoint(asio::ip::address_v4(address.address), address.port),
+        asio::redirect_error(asio::use_awaitable, e));
+    co_return !e;
+}
+
 loop_udp::loop_udp(asio::io_context& io, endpoint local, handler h)
     : socket_(io, asio::ip::udp::endpoint(asio::ip::address_v4(local.address), local.port)),
       handler_(std::move(h))
--- a/transport/event_loop.hpp
+++ b/transport/event_loop.hpp
@@ -51,6 +51,9 @@
 // Waits in a coroutine.
 boost::asio::awaitable<void> sleep_for(duration time);
 
+// Whether a TCP connection to the address can be opened within the time limit.
+boost::asio::awaitable<bool> accepts_connections(endpoint address, duration limit);
+
 // A datagram socket whose handler the loop calls for each datagram that has arrived.
 class loop_udp
 {
