Offer an opening elsewhere only on a failed connection or the caller's copy; pace probes

Three answers can lead the caller's packets to an upstream that does not hold the flow. Change: silence of 60 ms makes an upstream doubtful; the opening moves when a connection attempt fails too, or when the caller's copy comes.

--- a/coordination/deployment_view.cpp
+++ b/coordination/deployment_view.cpp
@@ -20,6 +20,9 @@
 constexpr duration gone_after = 5s;
 // Flows live for 60 s, so a missing upstream's token is needed for no longer.
 constexpr duration forget_after = 90s;
+// Configurations come as fast as one each 60 ms; a host that lags by more than this many takes a
+// whole one.
+constexpr std::size_t remembered_steps = 48;
 
 std::uint64_t content_hash(upstream_entry const& e)
 {
@@ -60,9 +63,14 @@
         return apply(view.operators, view.upstreams, read_at, now, changes);
     if (!may_apply(view.operators) || !config_)
         return false;
-    note_gap(now, changes);
     if (view.operators.config && view.operators.config->version > config_->version)
-        apply_config(*view.operators.config, changes);
+    {
+        auto const config = merge_config(view);
+        if (!config)
+            return false;
+        apply_config(*config, changes);
+    }
+    note_gap(now, changes);
     apply_zones(view.operators.evacuated_zones, changes);
     for (upstream_entry const& e : view.upstreams.entries)
         update(by_name_[e.name], e, read_at, changes);
@@ -110,6 +118,7 @@
     changes.push_back({"config.applied", std::to_string(config.version),
                        "routes=" + std::to_string(config.routes.size()) +
                            " previous=" + std::to_string(config_ ? config_->version : 0)});
+    remember_step(config);
     if (config_)
         for (route_entry const& r : config_->routes)
             removed_routes_.insert(r.destination.packed());
@@ -122,6 +131,67 @@
     }
 }
 
+void deployment_view::remember_step(edge_config const& next)
+{
+    if (!config_)
+        return;
+    config_step step{config_->version, {}};
+    std::map<endpoint, route_entry const*> old;
+    for (route_entry const& r : config_->routes)
+        old.emplace(r.destination, &r);
+    for (route_entry const& r : next.routes)
+    {
+        auto const it = old.find(r.destination);
+        if (it == old.end() || *it->second != r)
+            step.touched.push_back(r.destination);
+        if (it != old.end())
+            old.erase(it);
+    }
+    for (auto const& [destination, r] : old)
+        step.touched.push_back(destination);
+    steps_.push_back(std::move(step));
+    if (steps_.size() > remembered_steps)
+        steps_.pop_front();
+}
+
+bool deployment_view::config_difference(std::uint64_t base, peer_view& out) const
+{
+    auto const first = std::ranges::find(steps_, base, &config_step::from);
+    if (first == steps_.end())
+        return false;
+    std::set<endpoint> touched;
+    for (auto step = first; step != steps_.end(); ++step)
+        touched.insert(step->touched.begin(), step->touched.end());
+    edge_config part{config_->version, {}, config_->services, config_->idle_limit};
+    for (endpoint const destination : touched)
+    {
+        route_entry const* const r = route(destination);
+        if (r != nullptr)
+            part.routes.push_back(*r);
+        else
+            out.dropped_routes.push_back(destination);
+    }
+    out.config_base = base;
+    out.operators.config = std::move(part);
+    return true;
+}
+
+std::optional<edge_config> deployment_view::merge_config(peer_view const& view) const
+{
+    if (view.config_base == 0)
+        return view.operators.config;
+    if (view.config_base != config_->version)
+        return std::nullopt;
+    edge_config whole = *view.operators.config;
+    std::set<endpoint> replaced(view.dropped_routes.begin(), view.dropped_routes.end());
+    for (route_entry const& r : whole.routes)
+        replaced.insert(r.destination);
+    for (route_entry const& r : config_->routes)
+        if (!replaced.contains(r.destination))
+            whole.routes.push_back(r);
+    return whole;
+}
+
 void deployment_view::apply_zones(std::set<std::string> const& zones,
                                   std::vector<belief_change>& changes)
 {
@@ -309,7 +379,8 @@
     out.view_age_ms = static_cast<std::uint32_t>(std::max(duration{}, now - confirmed_at_) /
                                                  std::chrono::milliseconds(1));
     out.operators = {as_of_, std::nullopt, evacuated_};
-    if (config_ && (out.complete || config_->version > config_version))
+    bool const lacks_config = config_ && (out.complete || config_->version > config_version);
+    if (lacks_config && (out.complete || !config_difference(config_version, out)))
         out.operators.config = config_;
     out.upstreams.as_of = as_of_;
     for (auto const& [name, known] : by_name_)
--- a/coordination/deployment_view.hpp
+++ b/coordination/deployment_view.hpp
@@ -8,6 +8,7 @@
 #include "state/state.hpp"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <span>
@@ -87,6 +88,12 @@
     void apply_config(edge_config const& config, std::vector<belief_change>& changes);
     void apply_zones(std::set<std::string> const& zones, std::vector<belief_change>& changes);
     bool may_apply(operator_listing const& operators) const;
+    void remember_step(edge_config const& next);
+    // The present configuration as a difference from an earlier version, if its steps are
+    // remembered.
+    bool config_difference(std::uint64_t base, peer_view& out) const;
+    // A whole configuration from a difference; nothing if it is based on another version.
+    std::optional<edge_config> merge_config(peer_view const& view) const;
     void apply_upstreams(upstream_listing const& listing, time_point read_at, time_point now,
                          std::vector<belief_change>& changes);
     void mark_missing(known_upstream& known, std::uint64_t as_of, time_point now,
@@ -101,6 +108,12 @@
     std::optional<edge_config> config_;
     std::unordered_map<std::uint64_t, std::size_t> route_at_; // packed destination -> index
     std::set<std::uint64_t> removed_routes_;
+    struct config_step
+    {
+        std::uint64_t from{};
+        std::vector<endpoint> touched; // destinations that were added, changed or dropped
+    };
+    std::deque<config_step> steps_; // up to the present version
     std::set<std::string> evacuated_;
     std::map<std::string, known_upstream> by_name_;
     std::unordered_map<std::uint32_t, known_upstream const*> by_token_;
--- a/coordination/edge_router.cpp
+++ b/coordination/edge_router.cpp
@@ -10,9 +10,12 @@
 
 using namespace std::chrono_literals;
 
-// An opening without an answer for this long goes to another upstream. A round trip over two zones
-// takes 9 ms, and an opening waits for no slot; the caller itself repeats it after 200 ms only.
-constexpr duration offer_again_after = 60ms;
+// An opening without an answer for this long makes its upstream doubtful. A round trip over two
+// zones takes 9 ms, and an opening waits for no slot.
+constexpr duration doubt_opening_after = 60ms;
+// How often a doubtful opening is looked at, and when the caller's own copy takes over.
+constexpr duration look_again_after = 20ms;
+constexpr duration copy_after = 190ms;
 // The upstream of an opening, and two more: the flow record remembers no more of them.
 constexpr std::uint32_t most_offers = 3;
 // An unknown route is refused only under a configuration that was confirmed this recently; an older
@@ -143,7 +146,8 @@
         return d;
     }
     flows_.open(p.flow, choice.upstream, p.sequence, now);
-    waiting_.push_back({p.flow, p.sequence, now + offer_again_after, std::string(raw)});
+    waiting_.emplace(now + doubt_opening_after,
+                     waiting_offer{p.flow, p.sequence, {}, std::string(raw)});
     d.offers = 1;
     d.reason = packet_reason::placed;
     return deliver(d, choice.upstream);
@@ -208,25 +212,32 @@
     }
 }
 
+// Silence alone does not move an opening: where routers have just moved the flow to another host,
+// its answer went there, and the answer of a second upstream would lead the caller's packets
+// astray.
 std::vector<repeated_offer> edge_router::due(time_point now)
 {
     std::vector<repeated_offer> out;
-    while (!waiting_.empty() && waiting_.front().due <= now)
+    while (!waiting_.empty() && waiting_.begin()->first <= now)
     {
-        waiting_offer w = std::move(waiting_.front());
-        waiting_.pop_front();
+        waiting_offer w = std::move(waiting_.extract(waiting_.begin()).mapped());
         flow_record* const flow = flows_.find(w.flow);
         if (flow == nullptr || flow->phase != flow_phase::opening ||
             flow->first_sequence != w.sequence)
             continue;
-        packet_decision const d = offer_elsewhere(*flow, w.flow, now);
-        if (d.action == packet_action::forward)
-            out.push_back({d, w.packet});
-        if (flow->offers < most_offers)
+        if (w.doubted != flow->upstream)
+            health_.failure(flow->upstream, now);
+        w.doubted = flow->upstream;
+        time_point next = now + look_again_after;
+        if (health_.fails_probes(flow->upstream))
         {
-            w.due = now + offer_again_after;
-            waiting_.push_back(std::move(w));
+            packet_decision const d = offer_elsewhere(*flow, w.flow, now);
+            if (d.action == packet_action::forward)
+                out.push_back({d, w.packet});
+            next = now + doubt_opening_after;
         }
+        if (flow->offers < most_offers && now - flow->opened < copy_after)
+            waiting_.emplace(next, std::move(w));
     }
     return out;
 }
@@ -238,11 +249,16 @@
     return health_.probes_due(now);
 }
 
-std::vector<packet_decision> edge_router::probed(flow_token upstream, bool answered,
+flow_token edge_router::control_for(flow_token upstream, time_point now) const
+{
+    return health_.control_for(upstream, now);
+}
+
+std::vector<packet_decision> edge_router::probed(flow_token upstream, probe_result result,
                                                  time_point started, time_point now)
 {
     std::vector<packet_decision> resets;
-    if (!health_.probed(upstream, answered, started, now))
+    if (!health_.probed(upstream, result, started, now))
         return resets;
     for (auto const& [ends, acknowledged] : flows_.flows_of(upstream))
     {
@@ -260,7 +276,7 @@
 
 time_point edge_router::next_due() const
 {
-    return waiting_.empty() ? time_point{} : waiting_.front().due;
+    return waiting_.empty() ? time_point{} : waiting_.begin()->first;
 }
 
 void edge_router::expire(time_point now)
--- a/coordination/edge_router.hpp
+++ b/coordination/edge_router.hpp
@@ -13,7 +13,7 @@
 
 #include <array>
 #include <cstdint>
-#include <deque>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -85,7 +85,8 @@
 
     // `raw` is the whole packet; it is kept while an opening waits for its answer.
     packet_decision handle(caller_packet const& p, std::string_view raw, time_point now);
-    // Openings that were not answered in time and go to another upstream.
+    // Openings that were not answered in time by an upstream that cannot be connected to either,
+    // and go to another one.
     std::vector<repeated_offer> due(time_point now);
     // When `due` has something to do next; zero: nothing waits.
     time_point next_due() const;
@@ -93,8 +94,10 @@
     std::vector<flow_token> probes_due(time_point now);
     // The result of such an attempt. An upstream that is found silent has all its flows reset, so
     // that their callers can try elsewhere within their time.
-    std::vector<packet_decision> probed(flow_token upstream, bool answered, time_point started,
-                                        time_point now);
+    std::vector<packet_decision> probed(flow_token upstream, probe_result result,
+                                        time_point started, time_point now);
+    // An upstream that works, to compare an attempt with; 0: there is none.
+    flow_token control_for(flow_token upstream, time_point now) const;
     // Forgets idle flows.
     void expire(time_point now);
 
@@ -103,7 +106,7 @@
     {
         flow_ends flow;
         std::uint32_t sequence;
-        time_point due;
+        flow_token doubted; // its silence has been noted
         std::string packet;
     };
 
@@ -121,7 +124,7 @@
     upstream_health& health_;
     placement& place_;
     fleet_picture const& fleet_;
-    std::deque<waiting_offer> waiting_;
+    std::multimap<time_point, waiting_offer> waiting_; // by when to look
 };
 
 } // namespace chivelever
--- a/coordination/peer_exchange.cpp
+++ b/coordination/peer_exchange.cpp
@@ -16,6 +16,8 @@
 // average, and its announcement reaches the others before the next one's turn.
 constexpr duration spread_per_host = 50ms;
 constexpr duration spread_maximum = 2s;
+// A fetch takes a few ms of a small host's link; hosts spread theirs over this much for each host.
+constexpr duration fetch_spread_per_host = 4ms;
 // Between readings while the store holds no configuration yet.
 constexpr duration empty_interval = 100ms;
 // After a failed reading; doubled with each further one.
@@ -158,6 +160,12 @@
     not_before_ = now + empty_interval + random_wait(now);
 }
 
+duration peer_exchange::fetch_delay(time_point now)
+{
+    auto const most = static_cast<std::uint64_t>(fetch_spread_per_host.count()) * (heard(now) + 1);
+    return duration(static_cast<duration::rep>(random_() % most));
+}
+
 std::optional<std::uint32_t> peer_exchange::source(view_version const& own, time_point now)
 {
     std::vector<std::uint32_t> newer;
--- a/coordination/peer_exchange.hpp
+++ b/coordination/peer_exchange.hpp
@@ -49,6 +49,8 @@
     void read_failed(time_point now);
     void read_done(time_point now);
 
+    // How long to wait before fetching a view, at random.
+    duration fetch_delay(time_point now);
     // A host whose view is newer than this one's, to fetch it from; one at random of several.
     std::optional<std::uint32_t> source(view_version const& own, time_point now);
 
--- a/coordination/upstream_health.cpp
+++ b/coordination/upstream_health.cpp
@@ -17,15 +17,16 @@
 constexpr duration suspicion_maximum = 3200ms;
 // How long the report of another host counts.
 constexpr duration peer_report_life = 600ms;
-// An upstream that fails nothing but probes needs this many failed ones in a row to count as
-// silent; with a failed opening or request beside them one is enough.
-constexpr std::uint32_t probes_alone = 2;
+// Failed attempts in a row after which an upstream counts as silent. Where an upstream that works
+// fails as well, an attempt does not count at all.
+constexpr std::uint32_t silent_probes = 2;
 // Others must have answered this recently, or the fault may be on this host's side.
 constexpr duration others_progress = 300ms;
-// Between two probes of one upstream while it is doubted, and once it has failed several.
-constexpr duration probe_interval = 150ms;
-constexpr duration probe_interval_silent = 600ms;
-constexpr std::uint32_t early_probes = 4;
+// From the end of a probe to the next one: at once after a first failure, so that a silent upstream
+// is found soon; later when it works, when nothing can be told, or when it has failed several.
+constexpr duration probe_again = 10ms;
+constexpr duration probe_later = 600ms;
+constexpr std::uint32_t early_probes = 3;
 // A doubt without anything new is dropped after this time; by then the entry has lapsed.
 constexpr duration doubt_life = 6s;
 // The host itself is cut off when at least two upstreams fail and none answers for this long.
@@ -47,9 +48,7 @@
 
 bool upstream_health::is_silent(record const& r, time_point now) const
 {
-    if (r.failed_probes == 0 || r.last_progress > r.probed_at)
-        return false;
-    return (r.failed_probes >= probes_alone || r.failures > 0) && others_answer(now);
+    return r.failed_probes >= silent_probes && r.last_progress <= r.probed_at && others_answer(now);
 }
 
 void upstream_health::progress(flow_token upstream, time_point now)
@@ -58,6 +57,7 @@
     r.last_progress = now;
     r.failures = 0;
     r.failed_probes = 0;
+    r.reported_silent = false;
     r.doubted = {};
     last_progress_ = now;
     failed_upstreams_ = 0;
@@ -94,9 +94,9 @@
     for (auto& [token, r] : records_)
     {
         bool const doubted = r.doubted != time_point{} && now - r.doubted < doubt_life;
-        duration const interval =
-            r.failed_probes < early_probes ? probe_interval : probe_interval_silent;
-        bool const paused = r.probed_at != time_point{} && now - r.probed_at < interval;
+        bool const early = r.failed_probes > 0 && r.failed_probes < early_probes;
+        bool const paused =
+            r.probed_at != time_point{} && now - r.probed_at < (early ? probe_again : probe_later);
         if (!doubted || paused || r.probing)
             continue;
         r.probing = true;
@@ -105,13 +105,18 @@
     return out;
 }
 
-bool upstream_health::probed(flow_token upstream, bool answered, time_point started, time_point now)
+bool upstream_health::probed(flow_token upstream, probe_result result, time_point started,
+                             time_point now)
 {
     record& r = records_[upstream.value];
     r.probing = false;
-    if (!answered && r.last_progress >= started)
+    bool const answered = result == probe_result::answered;
+    if (result == probe_result::inconclusive || (!answered && r.last_progress >= started))
+    {
+        r.probed_at = now;
+        r.failed_probes = 0;
         return false;
-    bool const was = is_silent(r, now);
+    }
     r.probed_at = now;
     if (answered)
     {
@@ -120,7 +125,30 @@
         return false;
     }
     ++r.failed_probes;
-    return !was && is_silent(r, now);
+    bool const found = is_silent(r, now) && !r.reported_silent;
+    r.reported_silent = r.reported_silent || found;
+    return found;
+}
+
+bool upstream_health::fails_probes(flow_token upstream) const
+{
+    auto const it = records_.find(upstream.value);
+    return it != records_.end() && it->second.failed_probes > 0 &&
+           it->second.last_progress <= it->second.probed_at;
+}
+
+flow_token upstream_health::control_for(flow_token upstream, time_point now) const
+{
+    flow_token best;
+    time_point latest = now - others_progress;
+    for (auto const& [token, r] : records_)
+    {
+        if (token == upstream.value || r.last_progress <= latest || r.failures > 0)
+            continue;
+        latest = r.last_progress;
+        best = {token};
+    }
+    return best;
 }
 
 upstream_verdict upstream_health::verdict(flow_token upstream, time_point now) const
--- a/coordination/upstream_health.hpp
+++ b/coordination/upstream_health.hpp
@@ -21,6 +21,14 @@
     silent     // answers nothing while others do: its flows have no future
 };
 
+// Outcome of a connection attempt.
+enum class probe_result : std::uint8_t
+{
+    answered,
+    unanswered,
+    inconclusive // an upstream that works did not answer either: the fault may be this host's
+};
+
 class upstream_health
 {
 public:
@@ -39,8 +47,12 @@
     std::vector<flow_token> probes_due(time_point now);
     // The result of an attempt that began at `started`. Returns true if the upstream becomes silent
     // by this; an answer to any caller since then outweighs it.
-    bool probed(flow_token upstream, bool answered, time_point started, time_point now);
+    bool probed(flow_token upstream, probe_result result, time_point started, time_point now);
 
+    // Whether the last attempt to connect to it failed, with no answer to anyone since.
+    bool fails_probes(flow_token upstream) const;
+    // Upstreams that have answered most recently, to compare with; `upstream` left out.
+    flow_token control_for(flow_token upstream, time_point now) const;
     upstream_verdict verdict(flow_token upstream, time_point now) const;
     // Those that this host has found failing itself, for other hosts.
     std::vector<flow_token> suspects(time_point now) const;
@@ -61,6 +73,7 @@
         std::uint32_t failures{};      // since the last progress
         std::uint32_t failed_probes{}; // in a row
         bool probing{};
+        bool reported_silent{}; // its flows have been reset
     };
     bool others_answer(time_point now) const;
     bool is_silent(record const& r, time_point now) const;
--- a/edge/edge_host.hpp
+++ b/edge/edge_host.hpp
@@ -42,7 +42,7 @@
     void offer_again();
     void arm_offers();
     void start_probes();
-    boost::asio::awaitable<void> probe(flow_token upstream, endpoint address);
+    boost::asio::awaitable<void> probe(flow_token upstream);
 
     // Knowledge (edge_knowledge.cpp).
     boost::asio::awaitable<void> read_store_forever();
--- a/edge/edge_knowledge.cpp
+++ b/edge/edge_knowledge.cpp
@@ -168,12 +168,19 @@
     if (fetching_ || !source)
         co_return;
     fetching_ = true;
-    endpoint const from{*source, settings_.peer_port};
+    // Not all hosts at once from the one that has read the store: meanwhile others learn it and can
+    // be asked too.
+    if (view_.loaded())
+        co_await sleep_for(peers_.fetch_delay(boot_time_now()));
+    auto const chosen = peers_.source(view_.version(), boot_time_now());
+    endpoint const from{chosen.value_or(*source), settings_.peer_port};
     // What has changed is enough unless the two views have parted earlier; then everything is.
-    bool const whole = co_await fetch_from(from, view_.loaded() ? own.as_of : 0);
-    if (!whole)
+    bool const same = co_await fetch_from(from, view_.loaded() ? view_.version().as_of : 0);
+    if (!same)
         co_await fetch_from(from, 0);
     fetching_ = false;
+    if (view_.version().as_of > own.as_of)
+        send_beats(false);
 }
 
 // False if the result differs from the view of the other host.
@@ -198,7 +205,8 @@
     std::vector<belief_change> changes;
     bool const applied = view_.apply(*v, now, changes);
     report_changes(applied, changes, to_string(source), v->operators.as_of);
-    co_return !applied || view_.version().digest == v->digest;
+    bool const newer_meanwhile = view_.version().as_of > v->operators.as_of;
+    co_return newer_meanwhile || (applied && view_.version().digest == v->digest);
 }
 
 void edge_host::report_changes(bool applied, std::vector<belief_change> const& changes,
--- a/edge/edge_packets.cpp
+++ b/edge/edge_packets.cpp
@@ -114,35 +114,38 @@
 void edge_host::start_probes()
 {
     packets_->drain();
-    time_point const now = boot_time_now();
-    for (flow_token const t : router_.probes_due(now))
-    {
-        known_upstream const* const u = view_.find(t);
-        if (u == nullptr)
-        {
-            router_.probed(t, false, now, now);
-            continue;
-        }
-        boost::asio::co_spawn(io_, probe(t, u->entry.address), boost::asio::detached);
-    }
+    for (flow_token const t : router_.probes_due(boot_time_now()))
+        boost::asio::co_spawn(io_, probe(t), boost::asio::detached);
 }
 
-boost::asio::awaitable<void> edge_host::probe(flow_token upstream, endpoint address)
+// Tries a connection to the upstream, and one to an upstream that works beside it.
+boost::asio::awaitable<void> edge_host::probe(flow_token upstream)
 {
     time_point const started = boot_time_now();
-    bool const answered = co_await accepts_connections(address, probe_time);
+    known_upstream const* const u = view_.find(upstream);
+    known_upstream const* const control = view_.find(router_.control_for(upstream, started));
+    if (u == nullptr || control == nullptr)
+    {
+        router_.probed(upstream, probe_result::inconclusive, started, started);
+        co_return;
+    }
+    std::string const name = u->entry.name;
+    endpoint const address = u->entry.address;
+    std::vector<endpoint> const addresses{address, control->entry.address};
+    auto const connected = co_await accept_connections(addresses, probe_time);
     packets_->drain();
     time_point const now = boot_time_now();
+    probe_result const result = connected[0]   ? probe_result::answered
+                                : connected[1] ? probe_result::unanswered
+                                               : probe_result::inconclusive;
+    constexpr std::array<std::string_view, 3> names{"answered", "unanswered", "inconclusive"};
     metrics_.count("probes_total", "connection attempts to doubtful upstreams",
-                   std::string("answered=\"") + (answered ? "yes" : "no") + "\"")++;
-    auto const resets = router_.probed(upstream, answered, started, now);
+                   "result=\"" + std::string(names[static_cast<std::size_t>(result)]) + "\"")++;
+    auto const resets = router_.probed(upstream, result, started, now);
     if (!resets.empty())
-    {
-        known_upstream const* const u = view_.find(upstream);
-        log::info("upstream.unreachable", {{"upstream", u != nullptr ? u->entry.name : ""},
+        log::info("upstream.unreachable", {{"upstream", name},
                                            {"address", to_string(address)},
                                            {"flows_reset", std::to_string(resets.size())}});
-    }
     for (packet_decision const& d : resets)
     {
         carry_out(d, {}, now);
--- a/protocol/edge_codec.cpp
+++ b/protocol/edge_codec.cpp
@@ -15,7 +15,7 @@
 // Members are rows in a fixed order: beats are sent many times a second, and names would triple
 // their size. The first element tells the layout.
 constexpr std::int64_t beat_layout = 1;
-constexpr std::int64_t view_layout = 2;
+constexpr std::int64_t view_layout = 3;
 
 template<class Int>
 Int number(json::value const& v)
@@ -201,13 +201,16 @@
     json::array upstreams;
     for (upstream_entry const& e : v.upstreams.entries)
         upstreams.push_back(encode_upstream(e));
+    json::array dropped;
+    for (endpoint const e : v.dropped_routes)
+        dropped.push_back(e.packed());
     json::array removed;
     for (std::string const& name : v.removed)
         removed.push_back(json::string(name));
-    return json::serialize(json::array{view_layout, v.view_age_ms, v.operators.as_of,
-                                       encode_config(v.operators.config), std::move(zones),
-                                       v.upstreams.as_of, std::move(upstreams), v.complete,
-                                       v.digest, std::move(removed)});
+    return json::serialize(json::array{
+        view_layout, v.view_age_ms, v.operators.as_of, encode_config(v.operators.config),
+        std::move(zones), v.upstreams.as_of, std::move(upstreams), v.complete, v.digest,
+        std::move(removed), v.config_base, std::move(dropped)});
 }
 
 std::optional<peer_view> decode_view(std::string_view bytes)
@@ -232,6 +235,9 @@
             out.digest = number<std::uint64_t>(row.at(8));
             for (json::value const& name : row.at(9).as_array())
                 out.removed.push_back(text(name));
+            out.config_base = number<std::uint64_t>(row.at(10));
+            for (json::value const& e : row.at(11).as_array())
+                out.dropped_routes.push_back(endpoint::from_packed(number<std::uint64_t>(e)));
             return out;
         });
 }
--- /dev/null
+++ b/standins/users_platform.py
@@ -0,0 +1,580 @@
+"""A stand-in of the users' platform for one machine: store, routers, upstreams and callers, which speak the
+platform's published formats on loopback addresses. For demos and fault runs of chivelever-edge; never
+shipped. It checks what it sees on its sockets and collects violations of the promises."""
+
+import asyncio
+import base64
+import json
+import random
+import struct
+import time
+import zlib
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs, urlsplit
+
+HEAD = struct.Struct("<IIHBBIIHIHI")  # seq ack len flags pad echo sum dport src sport dst
+SYN, FIN, ACK, BOUNCED, RST = 2, 16, 32, 64, 128
+OPENING_COPIES_S = (0.2, 0.6)
+OPENING_LIMIT_S = 1.4
+RESEND_FIRST_S, RESEND_MOST_S = 0.2, 1.6
+PROBE_S = 0.5
+ENTRY_LIFE = 3  # heartbeats
+DRAIN_BOUND_S = 3.0
+EVACUATE_BOUND_S = 5.0
+CONFIG_BOUND_S = 3.0
+
+
+def ip_number(text):
+    a, b, c, d = (int(x) for x in text.split("."))
+    return a << 24 | b << 16 | c << 8 | d
+
+
+def ip_text(number):
+    return ".".join(str(number >> s & 255) for s in (24, 16, 8, 0))
+
+
+@dataclass
+class Packet:
+    seq: int
+    ack: int
+    flags: int
+    echo: int
+    dport: int
+    src: int
+    sport: int
+    dst: int
+    data: bytes = b""
+    sum: int = 0
+
+    def checksum(self):
+        text = HEAD.pack(self.seq, self.ack, len(self.data), self.flags & ~BOUNCED, 0, 0, 0, self.dport, self.src,
+                         self.sport, self.dst)
+        return zlib.crc32(b"stand-in key" + text + self.data) or 1
+
+    def encode(self):
+        return HEAD.pack(self.seq, self.ack, len(self.data), self.flags, 0, self.echo, self.sum, self.dport, self.src,
+                         self.sport, self.dst) + self.data
+
+    @staticmethod
+    def decode(text):
+        seq, ack, size, flags, _, echo, total, dport, src, sport, dst = HEAD.unpack_from(text)
+        return Packet(seq, ack, flags, echo, dport, src, sport, dst, text[HEAD.size:HEAD.size + size], total)
+
+
+class Datagrams(asyncio.DatagramProtocol):
+    def __init__(self, receive):
+        self.receive = receive
+
+    def datagram_received(self, data, addr):
+        self.receive(data, addr)
+
+    def error_received(self, exc):
+        pass  # a port without a process; the sender repeats
+
+
+async def open_udp(ip, port, receive):
+    loop = asyncio.get_running_loop()
+    transport, _ = await loop.create_datagram_endpoint(lambda: Datagrams(receive), local_addr=(ip, port))
+    return transport
+
+
+@dataclass
+class Item:
+    value: bytes
+    revision: int
+    created: int
+
+
+class Store:
+    """The key-value service. Each host reaches it at an address of its own, so that faults can be set for one
+    host: ok, busy (503), many (429), reset, silent, or slow (a delay)."""
+
+    def __init__(self):
+        self.items = {}
+        self.revision = 1
+        self.mode = {}  # host address -> (mode, delay)
+        self.calls = 0
+        self.servers = []
+        self.lost = 0.0  # share of writes that are done and not answered
+
+    def put(self, key, value):
+        self.revision += 1
+        old = self.items.get(key)
+        self.items[key] = Item(value, self.revision, old.created if old else self.revision)
+        return time.monotonic()
+
+    def remove(self, key):
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+
+    async def listen(self, ip, port):
+        async def serve(reader, writer):
+            try:
+                await self.serve(ip, reader, writer)
+            except (ConnectionError, asyncio.IncompleteReadError):
+                pass
+            finally:
+                writer.close()
+
+        self.servers.append(await asyncio.start_server(serve, ip, port))
+
+    async def serve(self, ip, reader, writer):
+        while True:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            lines = head.split("\r\n")
+            headers = {k.strip().lower(): v.strip() for k, v in (x.split(":", 1) for x in lines[1:] if ":" in x)}
+            body = await reader.readexactly(int(headers.get("content-length", 0)))
+            method, target, _ = lines[0].split(" ")
+            self.calls += 1
+            mode, delay = self.mode.get(ip, self.mode.get("all", ("ok", 0.0)))
+            await asyncio.sleep(0.002 + delay)
+            if mode == "silent":
+                await asyncio.sleep(3600)
+            if mode == "reset":
+                writer.transport.abort()
+                return
+            if mode in ("busy", "many"):
+                status, answer = (503 if mode == "busy" else 429), {"error": mode}
+            else:
+                status, answer = self.answer(method, target, body)
+                if method == "POST" and random.random() < self.lost:
+                    await asyncio.sleep(3600)
+            text = json.dumps(answer).encode()
+            writer.write(f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {len(text)}"
+                         "\r\n\r\n".encode() + text)
+            await writer.drain()
+
+    def row(self, key, item):
+        return {"key": key, "value": base64.b64encode(item.value).decode(), "revision": item.revision,
+                "created": item.created, "leaseId": 0}
+
+    def answer(self, method, target, body):
+        url = urlsplit(target)
+        query = {k: v[0] for k, v in parse_qs(url.query).items()}
+        if url.path == "/-/kv-range":
+            keys = sorted(k for k in self.items if k.startswith(query["prefix"]) and k > query.get("after", ""))
+            page = keys[:10]
+            return 200, {"items": [self.row(k, self.items[k]) for k in page], "hasMore": len(keys) > len(page),
+                         "asOf": self.revision}
+        if url.path == "/-/kv-txn" and method == "POST":
+            call = json.loads(body)
+            for put in call["puts"]:
+                self.put(put["key"], base64.b64decode(put["value"]))
+            for key in call["remove"]:
+                self.remove(key)
+            return 200, {"revision": self.revision}
+        return 404, {"error": "no such call"}
+
+
+@dataclass
+class Flow:
+    peer_seq: int
+    own_seq: int
+    opened: bool = False
+    answers: dict = field(default_factory=dict)  # sequence of the request -> answer packet
+
+
+class Upstream:
+    def __init__(self, world, number, zone, service, ip, port):
+        self.world, self.zone, self.service, self.ip, self.port = world, zone, service, ip, port
+        self.id = f"i-{0x50000000 + number:08x}"
+        self.flows = {}
+        self.alive = True
+        self.dark = False
+        self.draining = False
+        self.draining_since = None
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.slots = asyncio.Semaphore(4)
+        self.openings = 0
+
+    async def start(self):
+        self.udp = await open_udp(self.ip, self.port, self.receive)
+        self.tcp = await asyncio.start_server(lambda r, w: w.close(), self.ip, self.port)
+        self.beat()
+
+    def beat(self):
+        if not self.alive:
+            return
+        self.sequence += 1
+        entry = {"service": self.service, "address": f"{self.ip}:{self.port}", "zone": self.zone, "version": "v1",
+                 "maxConcurrency": 4, "state": "draining" if self.draining else "ready", "warmupLeftMs": 0,
+                 "sequence": self.sequence, "born": self.born}
+        key = f"servers/{self.id}"
+        old = self.world.store.items.get(key)
+        shape = {**entry, "sequence": 0}
+        if not self.dark and (old is None or {**json.loads(old.value), "sequence": 0} != shape):
+            self.world.store.put(key, json.dumps(entry).encode())
+
+    def drain(self):
+        self.draining, self.draining_since = True, time.monotonic()
+        self.beat()
+
+    async def crash(self):
+        """Falls silent; the entry lapses after three heartbeats."""
+        self.alive, self.dark = False, True
+        self.udp.close()
+        self.tcp.close()
+        await asyncio.sleep(ENTRY_LIFE * 0.5)
+        self.world.store.remove(f"servers/{self.id}")
+
+    def send(self, packet, flags, seq, ack, data=b""):
+        p = Packet(seq & 0xFFFFFFFF, ack & 0xFFFFFFFF, flags, packet.echo, packet.sport, packet.dst, packet.dport,
+                   packet.src, data)
+        p.sum = p.checksum()
+        self.udp.sendto(p.encode(), (ip_text(packet.src), self.world.packet_port))
+
+    def receive(self, text, _):
+        if not self.alive:
+            return
+        number = int.from_bytes(text[:8], "big")
+        p = Packet.decode(text[8:])
+        if number not in (0, int(self.id[2:], 16)):
+            return
+        if p.sum != p.checksum():
+            self.world.violation("UNASKED", "a packet was changed on its way")
+            return
+        key = (p.src, p.sport, p.dst, p.dport)
+        if p.flags & SYN:
+            self.opening(key, p)
+        elif key not in self.flows:
+            if not p.flags & RST:
+                self.send(p, RST, p.ack, 0)
+        elif p.flags & (RST | FIN):
+            if p.flags & FIN:
+                self.send(p, ACK, p.ack, p.seq + 1)
+            self.flows.pop(key, None)
+        else:
+            self.data(self.flows[key], p)
+
+    def opening(self, key, p):
+        self.openings += 1
+        self.world.check_opening(self, p)
+        flow = self.flows.setdefault(key, Flow(p.seq, random.getrandbits(31)))
+        self.send(p, SYN | ACK, flow.own_seq, p.seq + 1)
+
+    def data(self, flow, p):
+        flow.opened = True
+        if not p.data:
+            return
+        if p.seq not in flow.answers:
+            flow.answers[p.seq] = None
+            asyncio.ensure_future(self.work(flow, p))
+        elif flow.answers[p.seq]:
+            self.udp.sendto(flow.answers[p.seq], (ip_text(p.src), self.world.packet_port))
+
+    async def work(self, flow, p):
+        lines = p.data.decode().split("\r\n")
+        request = next((x.split(": ", 1)[1] for x in lines if x.startswith("Chivelever-Request-Id: ")), "")
+        self.world.ran(self, request, (p.dst, p.dport))
+        async with self.slots:
+            await asyncio.sleep(random.uniform(0.005, 0.02))
+        if not self.alive:
+            return
+        body = f"{request} {self.service}".encode()
+        answer = Packet(p.ack, (p.seq + len(p.data)) & 0xFFFFFFFF, ACK, p.echo, p.sport, p.dst, p.dport, p.src, body)
+        answer.sum = answer.checksum()
+        flow.answers[p.seq] = answer.encode()
+        self.udp.sendto(flow.answers[p.seq], (ip_text(p.src), self.world.packet_port))
+
+
+class Router:
+    """Hands the packets of one zone's callers to hosts in rotation, by a hash of the flow."""
+
+    def __init__(self, zone, hosts, packet_port, ready_port):
+        self.zone, self.hosts, self.packet_port, self.ready_port = zone, hosts, packet_port, ready_port
+        self.misses = {h: 2 for h in hosts}
+
+    async def probe(self, host):
+        while True:
+            ok = False
+            try:
+                reader, writer = await asyncio.wait_for(asyncio.open_connection(host, self.ready_port), 0.4)
+                writer.write(b"GET /-/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                ok = b" 200 " in await asyncio.wait_for(reader.readline(), 0.4)
+                writer.close()
+            except (OSError, asyncio.TimeoutError):
+                pass
+            self.misses[host] = 0 if ok else self.misses[host] + 1
+            await asyncio.sleep(PROBE_S)
+
+    def pick(self, key):
+        rotation = [h for h in self.hosts if self.misses[h] < 2]
+        if len(rotation) * 2 < len(self.hosts):
+            rotation = self.hosts
+        return max(rotation, key=lambda h: zlib.crc32(f"{h}{key}".encode()))
+
+
+class Conversation:
+    """One flow of a caller."""
+
+    def __init__(self, callers, sport, route):
+        self.callers, self.sport, self.route = callers, sport, route
+        self.seq = random.getrandbits(31)
+        self.ack = 0
+        self.echo = 0
+        self.events = asyncio.Queue()
+
+    def key(self):
+        return (self.callers.ip, self.sport, *self.route)
+
+    def transmit(self, flags, data=b"", ack=None):
+        p = Packet(self.seq & 0xFFFFFFFF, (self.ack if ack is None else ack) & 0xFFFFFFFF, flags, self.echo, self.route[1],
+                   ip_number(self.callers.ip), self.sport, ip_number(self.route[0]), data)
+        p.sum = p.checksum()
+        host = self.callers.router.pick(self.key())
+        self.callers.udp.sendto(p.encode(), (host, self.callers.world.packet_port))
+
+    async def next_event(self, limit):
+        try:
+            return await asyncio.wait_for(self.events.get(), limit)
+        except asyncio.TimeoutError:
+            return None
+
+    async def open(self):
+        started = time.monotonic()
+        for copy, until in enumerate((*OPENING_COPIES_S, OPENING_LIMIT_S)):
+            self.transmit(SYN, ack=copy)
+            p = await self.next_event(max(0.001, started + until - time.monotonic()))
+            if p is None:
+                continue
+            if p.flags & RST:
+                return "refused"
+            self.seq += 1
+            self.ack, self.echo = p.seq + 1, p.echo
+            return "open"
+        return "silent"
+
+    async def request(self, request, limit):
+        """Returns ok, reset or late."""
+        data = f"GET / HTTP/1.1\r\nHost: x\r\nChivelever-Request-Id: {request}\r\n\r\n".encode()
+        end = time.monotonic() + limit
+        wait = RESEND_FIRST_S
+        while time.monotonic() < end:
+            self.transmit(ACK, data)
+            until = min(end, time.monotonic() + wait)
+            while (left := until - time.monotonic()) > 0:
+                p = await self.next_event(left)
+                if p is None:
+                    break
+                if p.flags & RST:
+                    return "reset"
+                if p.data and p.seq == self.ack & 0xFFFFFFFF:
+                    self.seq += len(data)
+                    self.ack = p.seq + len(p.data)
+                    self.callers.check_answer(request, self.route, p.data.decode())
+                    self.transmit(ACK)
+                    return "ok"
+            wait = min(2 * wait, RESEND_MOST_S)
+        return "late"
+
+    def close(self):
+        self.transmit(FIN | ACK)
+        self.callers.flows.pop(self.sport, None)
+
+
+class Callers:
+    """The callers of one zone, at one address."""
+
+    def __init__(self, world, zone, ip, router):
+        self.world, self.zone, self.ip, self.router = world, zone, ip, router
+        self.flows = {}
+        self.ports = 1024
+
+    async def start(self):
+        self.udp = await open_udp(self.ip, self.world.packet_port, self.receive)
+
+    def receive(self, text, _):
+        p = Packet.decode(text)
+        flow = self.flows.get(p.dport)
+        if flow is None:
+            return
+        if p.flags & RST:
+            self.world.check_reset(self, flow, p)
+        elif p.sum != p.checksum():
+            self.world.violation("MIXED", "an answer was changed on its way")
+            return
+        flow.events.put_nowait(p)
+
+    def conversation(self, route):
+        self.ports = 1024 + (self.ports - 1023) % 60000
+        flow = self.flows[self.ports] = Conversation(self, self.ports, route)
+        return flow
+
+    def check_answer(self, request, route, text):
+        if text.split(" ")[0] != request:
+            self.world.violation("MIXED", f"{request} was answered with {text}")
+        allowed = self.world.services_ever[route]
+        if text.split(" ")[1] not in allowed:
+            self.world.violation("ROUTE", f"{request} of {route} was run by {text}")
+
+    async def caller(self, route, pause, long_flow, counts):
+        flow = None
+        while not self.world.stopping:
+            request = f"{random.getrandbits(64):016x}"
+            started = time.monotonic()
+            outcome = "refused"
+            for _ in range(3):
+                if flow is None:
+                    flow = self.conversation(route)
+                    opened = await flow.open()
+                    if opened != "open":
+                        self.flows.pop(flow.sport, None)
+                        flow, outcome = None, "refused" if opened == "refused" else "late"
+                        continue
+                outcome = await flow.request(request, 3.0)
+                if outcome == "ok":
+                    break
+                flow.close()
+                flow = None
+                request = f"{random.getrandbits(64):016x}"  # each attempt has its own id
+            if flow is not None and not long_flow:
+                flow.close()
+                flow = None
+            took = time.monotonic() - started
+            counts["asked"] += 1
+            counts["served" if outcome == "ok" else outcome] += 1
+            counts["late"] += outcome == "ok" and took > 0.3
+            self.world.samples.append((time.monotonic(), took, outcome))
+            await asyncio.sleep(random.expovariate(1 / pause))
+
+
+class World:
+    """Everything but the hosts of the system."""
+
+    def __init__(self, zones, hosts_per_zone, port, seed):
+        random.seed(seed)
+        self.zones = zones
+        self.packet_port, self.ready_port, self.peer_port = port, port + 1, port + 2
+        self.store_port, self.upstream_port, self.metrics_port = port + 3, port + 4, port + 5
+        self.store = Store()
+        self.violations = []
+        self.samples = []
+        self.stopping = False
+        self.counts = {k: 0 for k in ("asked", "served", "refused", "late", "reset")}
+        self.version = 0
+        self.routes = {}
+        self.services_ever = {}
+        self.removed_at = {}
+        self.evacuated_at = {}
+        self.runs = {}
+        self.impaired_until = 0.0
+        self.hosts = {z: [f"127.{i + 1}.0.{n + 1}" for n in range(hosts_per_zone)] for i, z in enumerate(zones)}
+        self.upstreams = []
+        self.tasks = []
+
+    def violation(self, rule, detail):
+        self.violations.append((round(time.monotonic() - self.started, 3), rule, detail))
+
+    def settings(self, zone, ip):
+        seeds = ",".join(f"{h[0]}:{self.peer_port}" for h in self.hosts.values())
+        return (f"[host]\nname = edge-{zone}-{ip.split('.')[-1]}\nzone = {zone}\naddress = {ip}\n"
+                f"ports = {self.peer_port},{self.peer_port + 10}\nseeds = {seeds}\n[listen]\n"
+                f"packets = {ip}:{self.packet_port}\nready = {ip}:{self.ready_port}\n[store]\n"
+                f"address = {self.store_address(ip)}:{self.store_port}\n[bounds]\ngrace_s = 6\n")
+
+    @staticmethod
+    def store_address(ip):
+        _, zone, _, number = ip.split(".")
+        return f"127.{100 + int(zone)}.0.{number}"
+
+    def configure(self, routes):
+        self.version += random.randint(1, 5)
+        now = time.monotonic()
+        for gone in set(self.routes) - set(routes):
+            self.removed_at[gone] = now
+        for route, service in routes.items():
+            self.removed_at.pop(route, None)
+            self.services_ever.setdefault(route, set()).add(service)
+        self.routes = dict(routes)
+        services = sorted(set(routes.values()))
+        config = {"version": self.version, "services": [
+            {"name": s, "healthCheck": "/health", "maxConnections": 2000, "warmupS": 2.0, "warmupPerS": 0.0}
+            for s in services], "limits": {"idleTimeoutMs": 15000}, "routes": [
+            {"name": f"r{i}", "host": h, "prefix": f"/{p}/", "type": "idempotent", "timeoutMs": 3000,
+             "targetLatencyMs": 200, "priority": 1, "service": s, "attempts": 2}
+            for i, ((h, p), s) in enumerate(routes.items())]}
+        self.store.put("op/config", json.dumps(config).encode())
+
+    def evacuate(self, zone, on):
+        if on:
+            self.evacuated_at[zone] = self.store.put(f"op/evacuate/{zone}", b"{}")
+        else:
+            self.evacuated_at.pop(zone, None)
+            self.store.remove(f"op/evacuate/{zone}")
+
+    def impair(self, seconds):
+        """Bounds in time do not hold during an impairment and for four seconds after it."""
+        self.impaired_until = max(self.impaired_until, time.monotonic() + seconds + 4.0)
+
+    def calm(self):
+        return time.monotonic() > self.impaired_until
+
+    def check_opening(self, upstream, p):
+        now = time.monotonic()
+        if not self.calm():
+            return
+        if upstream.draining and now - upstream.draining_since > DRAIN_BOUND_S:
+            self.violation("DRAIN", f"{upstream.id} got an opening")
+        evacuated = self.evacuated_at.get(upstream.zone)
+        if evacuated is not None and now - evacuated > EVACUATE_BOUND_S:
+            self.violation("EVAC", f"{upstream.id} got an opening")
+        removed = self.removed_at.get((ip_text(p.dst), p.dport))
+        if removed is not None and now - removed > CONFIG_BOUND_S + OPENING_LIMIT_S:
+            self.violation("CONFIG", "an opening on a dropped route was sent on")
+
+    def check_reset(self, callers, flow, p):
+        if p.sum != 0 or flow.echo == 0:
+            return  # an upstream's own reset, or an opening that is refused
+        key = (ip_number(callers.ip), flow.sport, ip_number(flow.route[0]), flow.route[1])
+        living = [u for u in self.upstreams if u.alive and key in u.flows and u.flows[key].opened]
+        if living and flow.route in self.routes:
+            self.violation("FLOW", f"an open flow to {living[0].id} was reset")
+
+    def ran(self, upstream, request, route):
+        self.runs[request] = self.runs.get(request, 0) + 1
+        if self.runs[request] > 1:
+            self.violation("TWICE", f"{request} ran twice")
+
+    async def start(self, upstreams_per_zone, callers_per_zone, pause):
+        self.started = time.monotonic()
+        for zone_hosts in self.hosts.values():
+            for ip in zone_hosts:
+                await self.store.listen(self.store_address(ip), self.store_port)
+        for i, zone in enumerate(self.zones):
+            for n in range(upstreams_per_zone):
+                service = "bulk" if n == upstreams_per_zone - 1 else "desk"
+                await self.add_upstream(zone, service, f"127.{i + 1}.1.{n + 1}")
+        self.configure({("198.18.0.1", 443): "desk", ("198.18.0.1", 8080): "bulk", ("198.18.0.2", 443): "desk"})
+        self.tasks.append(asyncio.ensure_future(self.heartbeats()))
+        for i, zone in enumerate(self.zones):
+            router = Router(zone, self.hosts[zone], self.packet_port, self.ready_port)
+            self.tasks += [asyncio.ensure_future(router.probe(h)) for h in router.hosts]
+            callers = Callers(self, zone, f"127.{i + 1}.2.1", router)
+            await callers.start()
+            self.callers_of = getattr(self, "callers_of", []) + [(callers, callers_per_zone, pause)]
+
+    async def add_upstream(self, zone, service, ip):
+        u = Upstream(self, len(self.upstreams), zone, service, ip, self.upstream_port)
+        self.upstreams.append(u)
+        await u.start()
+        return u
+
+    async def heartbeats(self):
+        while True:
+            await asyncio.sleep(0.5)
+            for u in self.upstreams:
+                u.beat()
+
+    def start_traffic(self):
+        for callers, number, pause in self.callers_of:
+            for n in range(number):
+                long_flow = n % 10 < 7
+                route = ("198.18.0.1", 443) if n % 10 < 9 else ("198.18.0.1", 8080)
+                self.tasks.append(asyncio.ensure_future(callers.caller(route, pause, long_flow, self.counts)))
+
+    async def stop_traffic(self):
+        self.stopping = True
+        await asyncio.sleep(0.3)
+        for t in self.tasks:
+            t.cancel()
--- a/state/peer_messages.hpp
+++ b/state/peer_messages.hpp
@@ -51,10 +51,14 @@
 {
     std::uint32_t view_age_ms{};
     bool complete{};
-    std::uint64_t digest{};           // of the whole view, to check the result
-    operator_listing operators;       // the configuration is left out if the other host has it
-    upstream_listing upstreams;       // all, or those that were written since
-    std::vector<std::string> removed; // upstreams that have gone since; empty if complete
+    std::uint64_t digest{};     // of the whole view, to check the result
+    operator_listing operators; // the configuration is left out if the other host has it
+    // Version that the configuration is a difference from: its routes are those that were added or
+    // changed since. 0: the configuration is whole.
+    std::uint64_t config_base{};
+    std::vector<endpoint> dropped_routes; // since that version
+    upstream_listing upstreams;           // all, or those that were written since
+    std::vector<std::string> removed;     // upstreams that have gone since; empty if complete
     bool operator==(peer_view const&) const = default;
 };
 
--- a/tests/deployment_view_test.cpp
+++ b/tests/deployment_view_test.cpp
@@ -208,4 +208,45 @@
     CHECK_FALSE(a.changes_since(35, 9, now).operators.config);
 }
 
+// Guards against whole configurations that go to every host at each of many changes: they filled
+// the 10 Mbit/s link of a small host for a second, and its upstreams looked silent to it.
+TEST_CASE("differences of configurations lead to the same routes", "[edge][view]")
+{
+    deployment_view a;
+    deployment_view b;
+    deployment_view late;
+    std::vector<belief_change> changes;
+    time_point const now = edge_start;
+    std::vector<endpoint> routes;
+    for (unsigned i = 0; i < 300; ++i)
+        routes.push_back({0xC6120000U + i, 443});
+    a.apply(make_operators(30, 4, routes), {30, {}}, now, now, changes);
+    b.apply(a.changes_since(0, 0, now), now, changes);
+    late.apply(make_operators(29, 2, {desk_route}), {29, {}}, now, now, changes);
+    std::uint64_t version = 4;
+    for (int step = 0; step < 20; ++step)
+    {
+        routes.erase(routes.begin());
+        routes.push_back({0xC6130000U + static_cast<unsigned>(step), 443});
+        version += 3;
+        a.apply(make_operators(31U + static_cast<unsigned>(step), version, routes), {40, {}}, now,
+                now, changes);
+    }
+    peer_view const v = a.changes_since(30, 4, now);
+    REQUIRE(v.operators.config);
+    CHECK(v.config_base == 4);
+    CHECK(v.operators.config->routes.size() == 20);
+    CHECK(v.dropped_routes.size() == 20);
+    REQUIRE(b.apply(v, now, changes));
+    CHECK(b.version().digest == a.version().digest);
+    for (endpoint const r : routes)
+        CHECK(b.route(r) != nullptr);
+    CHECK(b.route_removed({0xC6120000U, 443}));
+    // A host at a version that the other one never had takes the whole.
+    CHECK_FALSE(late.apply(v, now, changes));
+    CHECK(a.changes_since(29, 2, now).config_base == 0);
+    REQUIRE(late.apply(a.changes_since(29, 2, now), now, changes));
+    CHECK(late.route(routes.back()) != nullptr);
+}
+
 } // namespace chivelever
--- a/transport/event_loop.cpp
+++ b/transport/event_loop.cpp
@@ -89,23 +89,45 @@
     co_await timer.async_wait(asio::use_awaitable);
 }
 
-asio::awaitable<bool> accepts_connections(endpoint address, duration time)
+namespace
+{
+
+// Starts a connection; false if it is refused at once. Asio's own connect() waits for the outcome
+// also on a non-blocking socket.
+bool start_connection(asio::ip::tcp::socket& socket, endpoint address)
 {
-    asio::ip::tcp::socket socket(co_await asio::this_coro::executor, asio::ip::tcp::v4());
+    socket.open(asio::ip::tcp::v4());
     socket.non_blocking(true);
-    // Asio's own connect() waits for the outcome also on a non-blocking socket.
     asio::ip::tcp::endpoint const to(asio::ip::address_v4(address.address), address.port);
-    if (::connect(socket.native_handle(), to.data(), static_cast<socklen_t>(to.size())) != 0 &&
-        errno != EINPROGRESS)
-        co_return false;
-    co_await sleep_for(time);
+    return ::connect(socket.native_handle(), to.data(), static_cast<socklen_t>(to.size())) == 0 ||
+           errno == EINPROGRESS;
+}
+
+bool is_connected(asio::ip::tcp::socket& socket)
+{
     pollfd p{socket.native_handle(), POLLOUT, 0};
     if (::poll(&p, 1, 0) != 1)
-        co_return false;
+        return false;
     int failure = 0;
     socklen_t size = sizeof failure;
     ::getsockopt(socket.native_handle(), SOL_SOCKET, SO_ERROR, &failure, &size);
-    co_return failure == 0;
+    return failure == 0;
+}
+
+} // namespace
+
+asio::awaitable<std::vector<bool>> accept_connections(std::vector<endpoint> addresses,
+                                                      duration time)
+{
+    auto const executor = co_await asio::this_coro::executor;
+    std::vector<asio::ip::tcp::socket> sockets;
+    std::vector<bool> connected;
+    for (endpoint const& address : addresses)
+        connected.push_back(start_connection(sockets.emplace_back(executor), address));
+    co_await sleep_for(time);
+    for (std::size_t i = 0; i < sockets.size(); ++i)
+        connected[i] = connected[i] && is_connected(sockets[i]);
+    co_return connected;
 }
 
 loop_udp::loop_udp(asio::io_context& io, endpoint local, handler h)
--- a/transport/event_loop.hpp
+++ b/transport/event_loop.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <memory>
 #include <string_view>
+#include <vector>
 
 namespace chivelever
 {
@@ -51,9 +52,10 @@
 // Waits in a coroutine.
 boost::asio::awaitable<void> sleep_for(duration time);
 
-// Whether a TCP connection to the address has come about after the given time. The kernel is asked
-// at the end, so that a loop which runs late does not take an answer for none.
-boost::asio::awaitable<bool> accepts_connections(endpoint address, duration time);
+// For each address, whether a TCP connection to it has come about after the given time. The kernel
+// is asked at the end, so that a loop which runs late does not take an answer for none.
+boost::asio::awaitable<std::vector<bool>> accept_connections(std::vector<endpoint> addresses,
+                                                             duration time);
 
 // A datagram socket whose handler the loop calls for each datagram that has arrived.
 class loop_udp
