--- a/edge/edge_knowledge.cpp
+++ b/edge/edge_knowledge.cpp
@@ -43,7 +43,7 @@
         time_point const due = peers_.next_read(view_.version(), now);
         if (due > now)
         {
-            co_await sleep_for(std::min<duration>(due - now, idle_check));
+            co_await sleep_for(io_, std::min<duration>(due - now, idle_check));
             continue;
         }
         bool const done = co_await read_store();
@@ -156,7 +156,7 @@
         }
         log_findings(problems);
         if (!(written && read))
-            co_await sleep_for(register_retry);
+            co_await sleep_for(io_, register_retry);
     }
     log::info("host.registered", {{"peers", std::to_string(peers_.known())}});
 }
@@ -171,7 +171,7 @@
     // Not all hosts at once from the one that has read the store: meanwhile others learn it and can
     // be asked too.
     if (view_.loaded())
-        co_await sleep_for(peers_.fetch_delay(boot_time_now()));
+        co_await sleep_for(io_, peers_.fetch_delay(boot_time_now()));
     auto const chosen = peers_.source(view_.version(), boot_time_now());
     endpoint const from{chosen.value_or(*source), settings_.peer_port};
     // What has changed is enough unless the two views have parted earlier; then everything is.
--- a/edge/edge_packets.cpp
+++ b/edge/edge_packets.cpp
@@ -132,7 +132,7 @@
     std::string const name = u->entry.name;
     endpoint const address = u->entry.address;
     std::vector<endpoint> const addresses{address, control->entry.address};
-    auto const connected = co_await accept_connections(addresses, probe_time);
+    auto const connected = co_await accept_connections(io_, addresses, probe_time);
     packets_->drain();
     time_point const now = boot_time_now();
     probe_result const result = connected[0]   ? probe_result::answered
--- a/scripts/platform_run.py
+++ b/scripts/platform_run.py
@@ -32,6 +32,11 @@
         return [ip for hosts in self.world.hosts.values() for ip in hosts]
 
     def start(self, ip):
+        """Starts the host unless it runs: of two processes for one host, one would be lost sight of, and go on
+        telling other hosts, also those of a later run, what it believes."""
+        running = self.processes.get(ip)
+        if running is not None and running.poll() is None:
+            return
         settings = os.path.join(self.folder, f"{ip}.ini")
         with open(settings, "w", encoding="utf-8") as f:
             f.write(self.world.settings(self.zone_of(ip), ip))
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -111,8 +111,8 @@
         async def serve(reader, writer):
             try:
                 await self.serve(ip, reader, writer)
-            except (ConnectionError, asyncio.IncompleteReadError):
-                pass
+            except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+                pass  # the caller has gone, or the run ends
             finally:
                 writer.close()
 
--- a/tests/deployment_view_test.cpp
+++ b/tests/deployment_view_test.cpp
@@ -182,6 +182,7 @@
     std::vector<belief_change> changes;
     time_point now = edge_start;
     std::vector<upstream_entry> entries;
+    entries.reserve(41);
     for (int i = 0; i < 40; ++i)
         entries.push_back(make_upstream(i));
     a.apply(make_operators(30, 4), {30, entries}, now, now, changes);
@@ -218,6 +219,7 @@
     std::vector<belief_change> changes;
     time_point const now = edge_start;
     std::vector<endpoint> routes;
+    routes.reserve(320);
     for (unsigned i = 0; i < 300; ++i)
         routes.push_back({0xC6120000U + i, 443});
     a.apply(make_operators(30, 4, routes), {30, {}}, now, now, changes);
--- a/transport/event_loop.cpp
+++ b/transport/event_loop.cpp
@@ -4,7 +4,6 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <cerrno>
 #include <ctime>
@@ -82,9 +81,9 @@
     return subscription(std::move(e));
 }
 
-asio::awaitable<void> sleep_for(duration time)
+asio::awaitable<void> sleep_for(asio::io_context& io, duration time)
 {
-    asio::steady_timer timer(co_await asio::this_coro::executor);
+    asio::steady_timer timer(io);
     timer.expires_after(time);
     co_await timer.async_wait(asio::use_awaitable);
 }
@@ -116,15 +115,15 @@
 
 } // namespace
 
-asio::awaitable<std::vector<bool>> accept_connections(std::vector<endpoint> addresses,
-                                                      duration time)
+asio::awaitable<std::vector<bool>>
+accept_connections(asio::io_context& io, std::vector<endpoint> addresses, duration time)
 {
-    auto const executor = co_await asio::this_coro::executor;
     std::vector<asio::ip::tcp::socket> sockets;
-    std::vector<bool> connected;
-    for (endpoint const& address : addresses)
-        connected.push_back(start_connection(sockets.emplace_back(executor), address));
-    co_await sleep_for(time);
+    std::vector<bool> connected(addresses.size());
+    sockets.reserve(addresses.size());
+    for (std::size_t i = 0; i < addresses.size(); ++i)
+        connected[i] = start_connection(sockets.emplace_back(io), addresses[i]);
+    co_await sleep_for(io, time);
     for (std::size_t i = 0; i < sockets.size(); ++i)
         connected[i] = connected[i] && is_connected(sockets[i]);
     co_return connected;
--- a/transport/event_loop.hpp
+++ b/transport/event_loop.hpp
@@ -50,12 +50,12 @@
 };
 
 // Waits in a coroutine.
-boost::asio::awaitable<void> sleep_for(duration time);
+boost::asio::awaitable<void> sleep_for(boost::asio::io_context& io, duration time);
 
 // For each address, whether a TCP connection to it has come about after the given time. The kernel
 // is asked at the end, so that a loop which runs late does not take an answer for none.
-boost::asio::awaitable<std::vector<bool>> accept_connections(std::vector<endpoint> addresses,
-                                                             duration time);
+boost::asio::awaitable<std::vector<bool>>
+accept_connections(boost::asio::io_context& io, std::vector<endpoint> addresses, duration time);
 
 // A datagram socket whose handler the loop calls for each datagram that has arrived.
 class loop_udp
