--- a/tests/edge_router_test.cpp
+++ b/tests/edge_router_test.cpp
@@ -260,6 +260,7 @@
         host.advance(60ms);
         for (auto const& [c, t] : flows)
             host.handle(make_data(c, t, 1101, 6000U + static_cast<unsigned>(round), 0));
+        host.advance(1ms);
         CHECK(host.router.probed(slow, probe_result::unanswered, started, host.now).empty());
         CHECK(host.health.verdict(slow, host.now) == upstream_verdict::working);
         host.advance(200ms);
