--- a/coordination/deployment_view.hpp
+++ b/coordination/deployment_view.hpp
@@ -62,12 +62,12 @@
     // What a host lacks that has the view of this revision and configuration; 0: everything.
     peer_view changes_since(std::uint64_t as_of, std::uint64_t config_version,
                             time_point now) const;
-    // Another host has read the same contents at a later revision.
+    // Another host has read the same contents, at this revision or a later one.
     void confirm(std::uint64_t as_of, time_point read_at, time_point now);
 
     bool loaded() const { return config_.has_value(); }
     view_version version() const;
-    // Services of a route with their weights, or null if no configuration names the destination.
+    // The route of a destination, or null if the configuration has none.
     route_entry const* route(endpoint destination) const;
     // A configuration dropped this destination. A destination that no configuration ever had is not
     // removed: it may be in a newer one that is not known here yet.
--- a/edge/edge_host.cpp
+++ b/edge/edge_host.cpp
@@ -202,6 +202,8 @@
             if (!quiet && since < settings_.grace - leave_reserve)
                 return;
             log::info("host.stopped", {{"quiet", quiet ? "yes" : "no"}});
+            stopping_ = true;
+            send_beats(true);
             log::flush();
             io_.stop();
         }));
--- a/edge/edge_host.hpp
+++ b/edge/edge_host.hpp
@@ -95,7 +95,8 @@
     boost::asio::steady_timer offer_timer_;
     time_point offers_armed_for_{};
     bool fetching_{};
-    bool leaving_{};
+    bool leaving_{};  // not ready any more, but forwards on
+    bool stopping_{}; // the last beat is due
     time_point leaving_since_{};
     time_point last_packet_{};
     std::optional<bool> store_reachable_;
--- a/edge/edge_knowledge.cpp
+++ b/edge/edge_knowledge.cpp
@@ -257,7 +257,7 @@
     view_version const v = view_.version();
     peer_beat b;
     b.sender = {settings_.ip, settings_.zone};
-    b.leaving = false;
+    b.leaving = stopping_;
     b.as_of = v.as_of;
     b.digest = v.digest;
     b.config_version = v.config_version;
