Share one subscription and one periodic call between the two timer services

Cause: the read-through found the subscription of transport/timers.hpp written again for the event loop, with its entry, destructor and assignment. Change: transport/subscription.{hpp,cpp} holds both; the services differ in thread and clock only. One line that stood in both branches of the view's index stands once.

--- a/coordination/deployment_view.cpp
+++ b/coordination/deployment_view.cpp
@@ -274,14 +274,12 @@
     for (auto& [name, known] : by_name_)
     {
         known.token_taken = false;
+        by_service_[known.entry.service].push_back(known.token);
         if (known.listed)
         {
             digest_ ^= content_hash(known.entry);
-            by_service_[known.entry.service].push_back(known.token);
             holder_of_address_[known.entry.address.packed()] = &known;
         }
-        else
-            by_service_[known.entry.service].push_back(known.token);
         auto const [at, added] = by_token_.emplace(known.token.value, &known);
         if (added)
             continue;
--- a/transport/event_loop.cpp
+++ b/transport/event_loop.cpp
@@ -34,51 +34,9 @@
     return time_point{std::chrono::seconds(t.tv_sec) + duration(t.tv_nsec / 1000)};
 }
 
-struct loop_timers::subscription::entry : std::enable_shared_from_this<entry>
-{
-    entry(asio::io_context& io, duration p, std::function<void(time_point)> f)
-        : timer(io), period(p), call(std::move(f))
-    {
-    }
-
-    void arm()
-    {
-        timer.expires_after(period);
-        timer.async_wait(
-            [self = shared_from_this()](boost::system::error_code e)
-            {
-                if (e || self->ended)
-                    return;
-                self->call(boot_time_now());
-                self->arm();
-            });
-    }
-
-    asio::steady_timer timer;
-    duration period;
-    std::function<void(time_point)> call;
-    bool ended{false};
-};
-
-loop_timers::subscription::~subscription()
-{
-    if (!entry_)
-        return;
-    entry_->ended = true;
-    entry_->timer.cancel();
-}
-
-loop_timers::subscription& loop_timers::subscription::operator=(subscription&& other) noexcept
-{
-    std::swap(entry_, other.entry_);
-    return *this;
-}
-
 loop_timers::subscription loop_timers::subscribe(duration period, std::function<void(time_point)> f)
 {
-    auto e = std::make_shared<subscription::entry>(io_, period, std::move(f));
-    e->arm();
-    return subscription(std::move(e));
+    return call_periodically(io_, period, std::move(f), boot_time_now);
 }
 
 asio::awaitable<void> sleep_for(asio::io_context& io, duration time)
--- a/transport/event_loop.hpp
+++ b/transport/event_loop.hpp
@@ -3,7 +3,7 @@
 #ifndef CHIVELEVER_TRANSPORT_EVENT_LOOP_HPP
 #define CHIVELEVER_TRANSPORT_EVENT_LOOP_HPP
 
-#include "state/state.hpp"
+#include "transport/subscription.hpp"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -24,22 +24,7 @@
 class loop_timers
 {
 public:
-    // Ends the subscription when destroyed.
-    class subscription
-    {
-    public:
-        subscription() = default;
-        struct entry;
-        explicit subscription(std::shared_ptr<entry> e) : entry_(std::move(e)) {}
-        ~subscription();
-        subscription(subscription&&) noexcept = default;
-        subscription& operator=(subscription&& other) noexcept;
-        subscription(subscription const&) = delete;
-        subscription& operator=(subscription const&) = delete;
-
-    private:
-        std::shared_ptr<entry> entry_;
-    };
+    using subscription = chivelever::subscription;
 
     explicit loop_timers(boost::asio::io_context& io) : io_(io) {}
     time_point now() const { return boot_time_now(); }
--- a/transport/timers.cpp
+++ b/transport/timers.cpp
@@ -2,10 +2,7 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <chrono>
-#include <mutex>
 #include <thread>
 
 namespace chivelever
@@ -25,55 +22,6 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
 }
 
-struct timers::subscription::entry : std::enable_shared_from_this<entry>
-{
-    entry(asio::io_context& io, duration p, std::function<void(time_point)> f)
-        : timer(io), period(p), call(std::move(f))
-    {
-    }
-
-    void arm()
-    {
-        timer.expires_after(period);
-        timer.async_wait(
-            [self = shared_from_this()](boost::system::error_code e)
-            {
-                if (!e)
-                    self->fire();
-            });
-    }
-
-    void fire()
-    {
-        std::lock_guard const lock(mutex);
-        if (ended)
-            return;
-        call(monotonic_now());
-        arm();
-    }
-
-    asio::steady_timer timer;
-    duration period;
-    std::function<void(time_point)> call;
-    std::recursive_mutex mutex; // a subscriber may end its own subscription
-    bool ended{false};
-};
-
-timers::subscription::~subscription()
-{
-    if (!entry_)
-        return;
-    std::lock_guard const lock(entry_->mutex);
-    entry_->ended = true;
-}
-
-timers::subscription& timers::subscription::operator=(subscription&& other) noexcept
-{
-    subscription old(std::move(*this));
-    entry_ = std::move(other.entry_);
-    return *this;
-}
-
 struct timers::impl
 {
     asio::io_context io{1};
@@ -91,9 +39,7 @@
 
 timers::subscription timers::subscribe(duration period, std::function<void(time_point)> f)
 {
-    auto e = std::make_shared<subscription::entry>(impl_->io, period, std::move(f));
-    asio::post(impl_->io, [e] { e->arm(); });
-    return subscription(e);
+    return call_periodically(impl_->io, period, std::move(f), monotonic_now);
 }
 
 } // namespace chivelever
--- a/transport/timers.hpp
+++ b/transport/timers.hpp
@@ -2,7 +2,7 @@
 #ifndef CHIVELEVER_TRANSPORT_TIMERS_HPP
 #define CHIVELEVER_TRANSPORT_TIMERS_HPP
 
-#include "state/state.hpp"
+#include "transport/subscription.hpp"
 
 #include <functional>
 #include <memory>
@@ -17,22 +17,7 @@
 class timers
 {
 public:
-    // Ends the subscription when destroyed, after a call in progress has returned.
-    class subscription
-    {
-    public:
-        subscription() = default;
-        struct entry;
-        explicit subscription(std::shared_ptr<entry> e) : entry_(std::move(e)) {}
-        ~subscription();
-        subscription(subscription&&) noexcept = default;
-        subscription& operator=(subscription&& other) noexcept;
-        subscription(subscription const&) = delete;
-        subscription& operator=(subscription const&) = delete;
-
-    private:
-        std::shared_ptr<entry> entry_;
-    };
+    using subscription = chivelever::subscription;
 
     timers();
     ~timers();
--- a/transport/transport.hpp
+++ b/transport/transport.hpp
@@ -17,6 +17,7 @@
 #include "transport/peer_rpc.hpp"
 #include "transport/store_client.hpp"
 #include "transport/store_codec.hpp"
+#include "transport/subscription.hpp"
 #include "transport/timers.hpp"
 #include "transport/udp.hpp"
 // IWYU pragma: end_exports
