Refuse openings while a service is overloaded

Openings were refused only without a route or an upstream.

overload_control steers the refused share of openings by the median answer time against the latency objective (control law of PIE, RFC 8033), the lowest priority first, at most 0.9 of any, one choice per caller and second so that retries do not add to the load. The refusal is a reset at the opening packet.

Ruled out: the mean of the answers and the load of the least loaded upstream as the signal (hosts hear no loads of other zones, one always looked idle); a new draw for each try (three tries undo the refusal).

--- a/coordination/coordination.hpp
+++ b/coordination/coordination.hpp
@@ -13,6 +13,7 @@
 #include "coordination/flow_table.hpp"
 #include "coordination/ledger.hpp"
 #include "coordination/membership.hpp"
+#include "coordination/overload_control.hpp"
 #include "coordination/peer_exchange.hpp"
 #include "coordination/placement.hpp"
 #include "coordination/pool.hpp"
--- a/coordination/edge_router.cpp
+++ b/coordination/edge_router.cpp
@@ -31,10 +31,11 @@
 
 std::string_view to_string(packet_reason r)
 {
-    constexpr std::array<std::string_view, 15> names{
-        "placed",   "offered_again",        "by_flow",       "by_token",        "not_loaded",
-        "no_route", "no_route_unconfirmed", "no_upstream",   "only_cold",       "unknown_token",
-        "no_token", "route_removed",        "upstream_gone", "upstream_silent", "bad_flags"};
+    constexpr std::array<std::string_view, 16> names{
+        "placed",    "offered_again",        "by_flow",       "by_token",        "not_loaded",
+        "no_route",  "no_route_unconfirmed", "no_upstream",   "only_cold",       "unknown_token",
+        "no_token",  "route_removed",        "upstream_gone", "upstream_silent", "bad_flags",
+        "overloaded"};
     return names[static_cast<std::size_t>(r)];
 }
 
@@ -133,9 +134,9 @@
         d.reason = sure ? packet_reason::no_route : packet_reason::no_route_unconfirmed;
         return d;
     }
-    auto const choice = place_.choose(
-        {place_.pick_service(*route, p.flow), {}, flows_.carries_many(p.flow.destination)}, view_,
-        flows_, health_, fleet_, now);
+    std::string const& service = place_.pick_service(*route, p.flow);
+    auto const choice = place_.choose({service, {}, flows_.carries_many(p.flow.destination)}, view_,
+                                      flows_, health_, fleet_, now);
     if (choice.upstream.value == 0)
     {
         // A cold upstream bears more within a second, and the caller repeats its opening; with no
@@ -145,6 +146,13 @@
         d.reason = cold ? packet_reason::only_cold_upstreams : packet_reason::no_upstream;
         return d;
     }
+    if (!overload_.admits(service, route->priority, p.flow.caller, now))
+    {
+        d.action = packet_action::reset;
+        d.reason = packet_reason::overloaded;
+        d.refused_share = overload_.refused_share(service, route->priority);
+        return d;
+    }
     flows_.open(p.flow, choice.upstream, p.sequence, now);
     waiting_.emplace(now + doubt_opening_after,
                      waiting_offer{p.flow, p.sequence, {}, std::string(raw)});
@@ -203,6 +211,10 @@
                         time_point now)
 {
     d.seen = flows_.observe(flow, p, now);
+    route_entry const* const route = view_.route(p.flow.destination);
+    known_upstream const* const u = view_.find(flow.upstream);
+    if (d.seen.answer_time && route != nullptr && u != nullptr)
+        overload_.answered(u->entry.service, *d.seen.answer_time, route->latency_objective, now);
     if (d.seen.answered)
         health_.progress(flow.upstream, now);
     else if (d.seen.repeated)
--- a/coordination/edge_router.hpp
+++ b/coordination/edge_router.hpp
@@ -7,6 +7,7 @@
 
 #include "coordination/deployment_view.hpp"
 #include "coordination/flow_table.hpp"
+#include "coordination/overload_control.hpp"
 #include "coordination/placement.hpp"
 #include "coordination/upstream_health.hpp"
 #include "state/state.hpp"
@@ -45,7 +46,8 @@
     route_removed,
     upstream_gone,
     upstream_silent,
-    bad_flags
+    bad_flags,
+    overloaded
 };
 std::string_view to_string(packet_reason r);
 
@@ -59,6 +61,7 @@
     std::uint64_t datagram_address{};
     std::uint32_t reset_sequence{}; // for a reset: within the caller's window
     std::uint32_t offers{};         // upstreams that this opening was sent to
+    double refused_share{};         // of the openings of this service and priority
     bool opens{};                   // concerns an opening packet
     bool newly_suspected{};         // this packet makes `suspect` suspected
     flow_token suspect;
@@ -78,8 +81,9 @@
 {
 public:
     edge_router(deployment_view& view, flow_table& flows, upstream_health& health, placement& place,
-                fleet_picture const& fleet)
-        : view_(view), flows_(flows), health_(health), place_(place), fleet_(fleet)
+                overload_control& overload, fleet_picture const& fleet)
+        : view_(view), flows_(flows), health_(health), place_(place), overload_(overload),
+          fleet_(fleet)
     {
     }
 
@@ -123,6 +127,7 @@
     flow_table& flows_;
     upstream_health& health_;
     placement& place_;
+    overload_control& overload_;
     fleet_picture const& fleet_;
     std::multimap<time_point, waiting_offer> waiting_; // by when to look
 };
--- a/coordination/placement.cpp
+++ b/coordination/placement.cpp
@@ -98,7 +98,6 @@
 {
     placement_choice best;
     std::uint32_t ties = 0;
-    best.reason = "no upstream";
     for (flow_token const token : view.upstreams_of(request.service))
     {
         known_upstream const* const u = view.find(token);
@@ -107,10 +106,7 @@
             continue;
         ++best.candidates;
         if (now < u->cold_until && !cold_admits(*u, view, fleet, now))
-        {
-            best.reason = best.upstream.value == 0 ? "cold" : best.reason;
             continue;
-        }
         double const s = score(*u, request.many_requests, flows, health, fleet, now);
         bool const better = best.upstream.value == 0 || s < best.score - 1e-9;
         bool const tie = !better && std::abs(s - best.score) <= 1e-9;
@@ -123,7 +119,6 @@
                 ties = 0;
             best.upstream = token;
             best.score = s;
-            best.reason = "least load";
         }
     }
     known_upstream const* const chosen = view.find(best.upstream);
--- a/coordination/placement.hpp
+++ b/coordination/placement.hpp
@@ -48,7 +48,6 @@
     flow_token upstream; // 0: none can take the flow
     double score{};
     std::uint32_t candidates{};
-    char const* reason{""};
 };
 
 class placement
--- a/edge/edge_host.cpp
+++ b/edge/edge_host.cpp
@@ -55,7 +55,7 @@
       placement_({settings_.zone, settings_.cold_overage, settings_.cold_slack},
                  seed_of(settings_)),
       peers_({settings_.ip, settings_.zone}, seed_of(settings_) + 1),
-      router_(view_, flows_, health_, placement_, fleet_), store_(io, settings_.store),
+      router_(view_, flows_, health_, placement_, overload_, fleet_), store_(io, settings_.store),
       signals_(io, SIGTERM, SIGINT, SIGHUP), offer_timer_(io)
 {
     fleet_.other_load = [this](flow_token t) { return peers_.other_load(t, boot_time_now()); };
@@ -110,6 +110,7 @@
          {
              router_.expire(now);
              peers_.expire(now);
+             report_overload();
          });
     each(probe_period, [this](time_point) { start_probes(); });
     each(log_flush_period, [](time_point) { log::flush(); });
--- a/edge/edge_host.hpp
+++ b/edge/edge_host.hpp
@@ -41,6 +41,7 @@
     void log_suspicion(packet_decision const& d);
     void offer_again();
     void arm_offers();
+    void report_overload();
     void start_probes();
     boost::asio::awaitable<void> probe(flow_token upstream);
 
@@ -84,6 +85,7 @@
     placement placement_;
     peer_exchange peers_;
     fleet_picture fleet_;
+    overload_control overload_;
     edge_router router_;
 
     http_connection store_;
@@ -99,6 +101,7 @@
     bool stopping_{}; // the last beat is due
     time_point leaving_since_{};
     time_point last_packet_{};
+    std::map<std::string, double> overloaded_; // services, as reported
     std::optional<bool> store_reachable_;
     std::optional<bool> was_ready_;
     std::map<std::string, std::uint64_t> logged_findings_; // kind of finding -> times seen
--- a/edge/edge_packets.cpp
+++ b/edge/edge_packets.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <charconv>
 
 namespace chivelever
 {
@@ -21,6 +22,14 @@
     return to_string(k.caller) + ">" + to_string(k.destination);
 }
 
+std::string fixed_text(double share)
+{
+    std::array<char, 16> out{};
+    auto const end =
+        std::to_chars(out.data(), out.data() + out.size(), share, std::chars_format::fixed, 2).ptr;
+    return {out.data(), end};
+}
+
 std::int64_t ms(duration d)
 {
     return d / std::chrono::milliseconds(1);
@@ -96,6 +105,7 @@
                {"reason", reason},
                {"upstream", u != nullptr ? u->entry.name : ""},
                {"offers", std::to_string(d.offers)},
+               {"refused_share", fixed_text(d.refused_share)},
                {"config", std::to_string(v.config_version)},
                {"as_of", std::to_string(v.as_of)},
                {"view_age_ms", std::to_string(ms(now - v.confirmed_at))}});
@@ -111,6 +121,19 @@
                {"cause", d.opens ? "opening unanswered" : "request repeated"}});
 }
 
+void edge_host::report_overload()
+{
+    auto now_overloaded = overload_.overloaded();
+    for (auto const& [service, share] : now_overloaded)
+        if (!overloaded_.contains(service))
+            log::warning("service.overloaded",
+                         {{"service", service}, {"refused_share", fixed_text(share)}});
+    for (auto const& [service, share] : overloaded_)
+        if (!now_overloaded.contains(service))
+            log::info("service.recovered", {{"service", service}});
+    overloaded_ = std::move(now_overloaded);
+}
+
 void edge_host::start_probes()
 {
     packets_->drain();
--- a/tests/edge_fixture.hpp
+++ b/tests/edge_fixture.hpp
@@ -78,7 +78,8 @@
     placement place{{"akl", 1.5, 5}, 7};
     fleet_picture fleet{[](flow_token) { return upstream_load{}; },
                         [](std::string const&) { return true; }, 1};
-    edge_router router{view, flows, health, place, fleet};
+    overload_control overload;
+    edge_router router{view, flows, health, place, overload, fleet};
     time_point now{edge_start};
     std::vector<belief_change> changes;
 
