--- a/coordination/flow_table.cpp
+++ b/coordination/flow_table.cpp
@@ -122,6 +122,7 @@
         flow.phase = flow_phase::open;
         flow.acknowledged = p.acknowledged;
         seen.answered = true;
+        seen.opening_time = now - flow.opened;
         loads_[flow.upstream.value].quiet_since = now;
         // The request counts from its own first packet on.
         stop_waiting(flow, now);
--- a/coordination/flow_table.hpp
+++ b/coordination/flow_table.hpp
@@ -60,6 +60,7 @@
     bool repeated{}; // the caller sends the same bytes again
     bool request{};  // a request starts with this packet
     std::optional<duration> answer_time;
+    std::optional<duration> opening_time; // until the caller showed that an upstream answered
     bool operator==(flow_observation const&) const = default;
 };
 
--- a/edge/edge_packets.cpp
+++ b/edge/edge_packets.cpp
@@ -91,6 +91,9 @@
     if (d.seen.answer_time)
         metrics_.observe("answer_seconds", "from a request to the caller's first acknowledgement",
                          std::chrono::duration<double>(*d.seen.answer_time).count());
+    if (d.seen.opening_time)
+        metrics_.observe("opening_seconds", "from an opening to the caller's confirmation",
+                         std::chrono::duration<double>(*d.seen.opening_time).count());
     std::string_view const request =
         d.seen.request ? platform::request_id_in(packet) : std::string_view{};
     bool const usual = d.action == packet_action::forward && !d.opens;
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -117,6 +117,25 @@
     writer.join();
 }
 
+// Guards against latencies that can be read only as quantiles of one process, which nobody can add
+// up over several hosts.
+TEST_CASE("latencies are rendered as a histogram and as quantiles")
+{
+    metrics m;
+    for (double const seconds : {0.001, 0.0015, 0.03, 0.03, 0.4, 20.0})
+        m.observe("answer_seconds", "answers", seconds);
+    std::string const text = m.render();
+    auto const has = [&](std::string const& line) { return text.find(line) != std::string::npos; };
+    CHECK(has("# TYPE chivelever_answer_seconds histogram\n"));
+    CHECK(has("chivelever_answer_seconds_bucket{le=\"0.001\"} 1\n"));
+    CHECK(has("chivelever_answer_seconds_bucket{le=\"0.002\"} 2\n"));
+    CHECK(has("chivelever_answer_seconds_bucket{le=\"0.05\"} 4\n"));
+    CHECK(has("chivelever_answer_seconds_bucket{le=\"10\"} 5\n"));
+    CHECK(has("chivelever_answer_seconds_bucket{le=\"+Inf\"} 6\n"));
+    CHECK(has("chivelever_answer_seconds_count 6\n"));
+    CHECK(has("chivelever_answer_seconds_quantile{quantile=\"0.99\"}"));
+}
+
 TEST_CASE("metrics are rendered as Prometheus text")
 {
     metrics m;
--- a/transport/metrics.cpp
+++ b/transport/metrics.cpp
@@ -2,6 +2,7 @@
 
 #include <sstream> // needed by Boost's quantile header, which does not include it
 
+#include <algorithm>
 #include <array>
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
@@ -17,12 +18,17 @@
 namespace
 {
 constexpr std::array<double, 4> probabilities{0.5, 0.9, 0.99, 0.999};
-}
+// Upper bounds of the buckets in seconds: from an answer within a zone to the longest time limit of
+// a request.
+constexpr std::array<double, 13> bucket_bounds{0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1,
+                                               0.2,   0.5,   1,     2,    5,    10};
+} // namespace
 
-struct metrics::quantiles
+struct metrics::samples
 {
     using accumulator = acc::accumulator_set<
         double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::extended_p_square_quantile>>;
+    std::array<std::uint64_t, bucket_bounds.size() + 1> buckets{}; // the last one has no bound
     accumulator set{acc::extended_p_square_probabilities = probabilities};
 };
 
@@ -32,7 +38,7 @@
     char const* type;
     std::map<std::string, std::unique_ptr<counter>> counters;
     std::map<std::string, std::function<double()>> gauges;
-    std::unique_ptr<quantiles> samples;
+    std::unique_ptr<metrics::samples> observed;
 };
 
 metrics::metrics() = default;
@@ -70,10 +76,32 @@
 void metrics::observe(std::string const& name, std::string const& help, double value)
 {
     std::lock_guard const lock(mutex_);
-    family& f = find(name, help, "summary");
-    if (!f.samples)
-        f.samples = std::make_unique<quantiles>();
-    f.samples->set(value);
+    family& f = find(name, help, "histogram");
+    if (!f.observed)
+        f.observed = std::make_unique<samples>();
+    f.observed->set(value);
+    auto const bound = std::ranges::lower_bound(bucket_bounds, value);
+    ++f.observed->buckets[static_cast<std::size_t>(bound - bucket_bounds.begin())];
+}
+
+void metrics::render_samples(std::ostream& out, std::string const& name, samples const& seen)
+{
+    std::uint64_t up_to = 0;
+    for (std::size_t i = 0; i < seen.buckets.size(); ++i)
+    {
+        up_to += seen.buckets[i];
+        out << name << "_bucket{le=\"";
+        if (i < bucket_bounds.size())
+            out << bucket_bounds[i];
+        else
+            out << "+Inf";
+        out << "\"} " << up_to << "\n";
+    }
+    out << name << "_sum " << acc::sum(seen.set) << "\n"
+        << name << "_count " << acc::count(seen.set) << "\n# TYPE " << name << "_quantile gauge\n";
+    for (double const p : probabilities)
+        out << name << "_quantile{quantile=\"" << p << "\"} "
+            << acc::quantile(seen.set, acc::quantile_probability = p) << "\n";
 }
 
 std::string metrics::render() const
@@ -95,16 +123,8 @@
             line(labels, c->load());
         for (auto const& [labels, read] : f->gauges)
             line(labels, read());
-        if (!f->samples)
-            continue;
-        for (double const p : probabilities)
-        {
-            std::ostringstream label;
-            label << "quantile=\"" << p << "\"";
-            line(label.str(), acc::quantile(f->samples->set, acc::quantile_probability = p));
-        }
-        out << "chivelever_" << name << "_sum " << acc::sum(f->samples->set) << "\nchivelever_"
-            << name << "_count " << acc::count(f->samples->set) << "\n";
+        if (f->observed)
+            render_samples(out, "chivelever_" + name, *f->observed);
     }
     return out.str();
 }
--- a/transport/metrics.hpp
+++ b/transport/metrics.hpp
@@ -1,10 +1,11 @@
-// Counters and latency quantiles of one process, in the Prometheus text format.
+// Counters and latency histograms of one process, in the Prometheus text format.
 #ifndef CHIVELEVER_TRANSPORT_METRICS_HPP
 #define CHIVELEVER_TRANSPORT_METRICS_HPP
 
 #include <atomic>
 #include <cstdint>
 #include <functional>
+#include <iosfwd>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -31,15 +32,16 @@
     // A value read when the page is made.
     void gauge(std::string const& name, std::string const& help, std::function<double()> read,
                std::string const& labels = {});
-    // Adds a sample to the quantiles of this name.
+    // Adds a sample, in seconds, to the histogram and the quantiles of this name.
     void observe(std::string const& name, std::string const& help, double value);
 
     std::string render() const;
 
 private:
     struct family;
-    struct quantiles;
+    struct samples;
     family& find(std::string const& name, std::string const& help, char const* type);
+    static void render_samples(std::ostream& out, std::string const& name, samples const& seen);
 
     mutable std::mutex mutex_;
     std::map<std::string, std::unique_ptr<family>> families_;
