Measure the packet path of chivelever-edge; ask for a zone's reach once

placement asked for every upstream whether its zone can be reached, which looks at all other hosts each time; now once for each zone and opening.

--- /dev/null
+++ b/bench/edge_packet.cpp
@@ -0,0 +1,98 @@
+// Time of one packet decision on the users' platform, and memory of one flow, with 10,000 and with
+// 400,000 open flows. `edge_token_only` is the least that any forwarder does: one lookup by the
+// token in the packet.
+#include "tests/edge_fixture.hpp"
+
+#include <benchmark/benchmark.h>
+#include <malloc.h>
+#include <random>
+
+using namespace chivelever;
+
+namespace
+{
+
+constexpr int upstreams = 120; // of the largest service of the users' grown sites
+
+std::vector<upstream_entry> service_upstreams()
+{
+    std::vector<upstream_entry> out;
+    for (int i = 0; i < upstreams; ++i)
+        out.push_back(make_upstream(i, i % 3 == 0 ? "akl" : i % 3 == 1 ? "wlg" : "chc"));
+    return out;
+}
+
+// A host with open flows in random order.
+struct loaded_host
+{
+    edge_under_test host{service_upstreams()};
+    std::vector<caller_packet> packets;
+    double bytes_per_flow{};
+
+    explicit loaded_host(int flows)
+    {
+        auto const upstream_list = service_upstreams();
+        std::mt19937 random(1);
+        packets.reserve(static_cast<std::size_t>(flows));
+        std::size_t const before = ::mallinfo2().uordblks;
+        for (int caller = 0; caller < flows; ++caller)
+        {
+            flow_token const t = token_of(upstream_list[random() % upstreams].name);
+            packets.push_back(make_data(caller, t, 1001, 5000, 0));
+            host.flows.adopt(packets.back(), host.now);
+        }
+        bytes_per_flow = static_cast<double>(::mallinfo2().uordblks - before) / flows;
+        std::shuffle(packets.begin(), packets.end(), random);
+    }
+};
+
+// Requests and the acknowledgements of their answers, in turn, on flows that this host knows.
+void edge_open_flow(benchmark::State& state)
+{
+    loaded_host h(static_cast<int>(state.range(0)));
+    std::size_t i = 0;
+    for ([[maybe_unused]] auto _ : state)
+    {
+        caller_packet& p = h.packets[i];
+        p.data_bytes = p.data_bytes == 0 ? 100 : 0;
+        if (p.data_bytes == 0)
+        {
+            p.sequence += 100;
+            p.acknowledged += 1000;
+        }
+        benchmark::DoNotOptimize(h.host.router.handle(p, {}, h.host.now));
+        i = i + 1 == h.packets.size() ? 0 : i + 1;
+    }
+    state.counters["bytes_per_flow"] = h.bytes_per_flow;
+}
+BENCHMARK(edge_open_flow)->Arg(10'000)->Arg(400'000);
+
+void edge_token_only(benchmark::State& state)
+{
+    loaded_host h(static_cast<int>(state.range(0)));
+    std::size_t i = 0;
+    for ([[maybe_unused]] auto _ : state)
+    {
+        benchmark::DoNotOptimize(h.host.view.find(h.packets[i].token));
+        i = i + 1 == h.packets.size() ? 0 : i + 1;
+    }
+}
+BENCHMARK(edge_token_only)->Arg(10'000)->Arg(400'000);
+
+// An opening, placed among 120 upstreams, and the end of its flow.
+void edge_opening(benchmark::State& state)
+{
+    loaded_host h(static_cast<int>(state.range(0)));
+    int caller = 1'000'000;
+    for ([[maybe_unused]] auto _ : state)
+    {
+        caller_packet const p = make_syn(++caller);
+        benchmark::DoNotOptimize(h.host.router.handle(p, {}, h.host.now));
+        h.host.flows.erase(p.flow, h.host.now);
+        h.host.advance(std::chrono::microseconds(37)); // 27,000 new flows a second
+        h.host.router.due(h.host.now);
+    }
+}
+BENCHMARK(edge_opening)->Arg(10'000)->Arg(400'000);
+
+} // namespace
--- a/coordination/placement.cpp
+++ b/coordination/placement.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
+#include <string_view>
 
 namespace chivelever
 {
@@ -65,7 +67,7 @@
 }
 
 double placement::score(known_upstream const& u, bool many_requests, flow_table const& flows,
-                        upstream_health const& health, fleet_picture const& fleet,
+                        upstream_health const& health, fleet_picture const& fleet, bool reachable,
                         time_point now) const
 {
     upstream_load const own = flows.load(u.token);
@@ -82,7 +84,7 @@
         s += other_zone_cost;
     if (now < u.cold_until)
         s += cold_cost;
-    if (!fleet.zone_reachable(u.entry.zone))
+    if (!reachable)
         s += unreachable_cost;
     upstream_verdict const verdict = health.verdict(u.token, now);
     if (verdict == upstream_verdict::suspected)
@@ -98,6 +100,15 @@
 {
     placement_choice best;
     std::uint32_t ties = 0;
+    // Asked once for each zone: the answer takes a look at every other host.
+    std::map<std::string_view, bool> reachable;
+    auto const zone_reachable = [&](std::string const& zone)
+    {
+        auto const [it, fresh] = reachable.try_emplace(zone);
+        if (fresh)
+            it->second = fleet.zone_reachable(zone);
+        return it->second;
+    };
     for (flow_token const token : view.upstreams_of(request.service))
     {
         known_upstream const* const u = view.find(token);
@@ -107,7 +118,8 @@
         ++best.candidates;
         if (now < u->cold_until && !cold_admits(*u, view, fleet, now))
             continue;
-        double const s = score(*u, request.many_requests, flows, health, fleet, now);
+        double const s = score(*u, request.many_requests, flows, health, fleet,
+                               zone_reachable(u->entry.zone), now);
         bool const better = best.upstream.value == 0 || s < best.score - 1e-9;
         bool const tie = !better && std::abs(s - best.score) <= 1e-9;
         // Hosts that see equal loads must not all take the same upstream.
--- a/coordination/placement.hpp
+++ b/coordination/placement.hpp
@@ -68,7 +68,8 @@
     bool cold_admits(known_upstream const& u, deployment_view const& view,
                      fleet_picture const& fleet, time_point now);
     double score(known_upstream const& u, bool many_requests, flow_table const& flows,
-                 upstream_health const& health, fleet_picture const& fleet, time_point now) const;
+                 upstream_health const& health, fleet_picture const& fleet, bool reachable,
+                 time_point now) const;
 
     placement_settings settings_;
     std::minstd_rand random_;
