Keep the hosts' addresses in the store under leases; read them again

Two faults, found by reading: an address in the store was never removed, so that they pile up as machines are replaced; and a host read the directory only at its start, so that hosts which had forgotten each other in a cut of more than 30 s never met again unless a third one heard both.

The stand-in grants, renews and ends leases.

--- a/coordination/coordination.hpp
+++ b/coordination/coordination.hpp
@@ -11,6 +11,7 @@
 #include "coordination/deployment_view.hpp"
 #include "coordination/edge_router.hpp"
 #include "coordination/flow_table.hpp"
+#include "coordination/host_directory.hpp"
 #include "coordination/ledger.hpp"
 #include "coordination/membership.hpp"
 #include "coordination/overload_control.hpp"
--- a/edge/edge_host.cpp
+++ b/edge/edge_host.cpp
@@ -55,6 +55,7 @@
       placement_({settings_.zone, settings_.cold_overage, settings_.cold_slack},
                  seed_of(settings_)),
       peers_({settings_.ip, settings_.zone}, seed_of(settings_) + 1),
+      directory_(seed_of(settings_) + 2),
       router_(view_, flows_, health_, placement_, overload_, fleet_), store_(io, settings_.store),
       signals_(io, SIGTERM, SIGINT, SIGHUP), offer_timer_(io)
 {
@@ -89,7 +90,7 @@
                                {"store", to_string(settings_.store)}});
     send_beats(true);
     asio::co_spawn(io_, read_store_forever(), asio::detached);
-    asio::co_spawn(io_, register_host(), asio::detached);
+    asio::co_spawn(io_, keep_directory(), asio::detached);
 }
 
 void edge_host::start_timers()
--- a/edge/edge_host.hpp
+++ b/edge/edge_host.hpp
@@ -50,7 +50,10 @@
     boost::asio::awaitable<bool> read_store();
     boost::asio::awaitable<std::optional<std::vector<platform::stored_item>>>
     read_section(platform::section s, bool may_be_stale, std::uint64_t& as_of);
-    boost::asio::awaitable<void> register_host();
+    boost::asio::awaitable<void> keep_directory();
+    boost::asio::awaitable<bool> take_directory_step(directory_step step,
+                                                     http_connection& connection);
+    boost::asio::awaitable<bool> read_directory(http_connection& connection);
     boost::asio::awaitable<void> fetch_view();
     void report_changes(bool applied, std::vector<belief_change> const& changes,
                         std::string const& source, std::uint64_t as_of);
@@ -84,6 +87,7 @@
     upstream_health health_;
     placement placement_;
     peer_exchange peers_;
+    host_directory directory_;
     fleet_picture fleet_;
     overload_control overload_;
     edge_router router_;
--- a/edge/edge_knowledge.cpp
+++ b/edge/edge_knowledge.cpp
@@ -19,11 +19,13 @@
 constexpr duration store_call_limit = 1s;
 constexpr duration fetch_limit = 500ms;
 constexpr duration idle_check = 20ms; // how long the reading loop sleeps at most past its time
-constexpr duration register_retry = 2s;
+// How long the directory sleeps at most, so that a changed address of the store is noticed.
+constexpr duration directory_check = 5s;
 // 2,200 upstreams in pages of 50; more is an endless listing.
 constexpr int max_pages = 100;
 constexpr std::size_t others_in_beat = 3;
 constexpr int http_ok = 200;
+constexpr int http_not_found = 404;
 
 std::uint32_t ms_since(time_point then, time_point now)
 {
@@ -125,40 +127,89 @@
 
 // Hosts find each other in the store: each leaves its address there, and reads those of the others
 // once it runs.
-asio::awaitable<void> edge_host::register_host()
+// Keeps the host's address in the store, and takes over those of the others.
+asio::awaitable<void> edge_host::keep_directory()
 {
     http_connection connection(io_, settings_.store);
-    peer_address const self{settings_.ip, settings_.zone};
-    bool written = false;
-    bool read = false;
-    while (!leaving_ && !(written && read))
+    bool reported = false;
+    while (!leaving_)
     {
-        if (!written)
-        {
-            auto const r = platform::register_host_request(self);
-            metrics_.count("store_calls_total", "calls to the store", "kind=\"write\"")++;
-            auto const reply =
-                co_await connection.call(r.method, r.target, r.body, store_call_limit);
-            written = reply && reply->status == http_ok;
-        }
-        auto const r = platform::range_request(platform::section::hosts, "", true);
+        connection.set_server(settings_.store);
+        time_point const now = boot_time_now();
+        directory_step const step = directory_.next(now);
+        if (step == directory_step::wait)
+            co_await sleep_for(io_, std::min<duration>(directory_.due() - now, directory_check));
+        else if (!co_await take_directory_step(step, connection))
+            directory_.on_failure(step, boot_time_now());
+        if (directory_.complete() && !reported)
+            log::info("host.registered", {{"peers", std::to_string(peers_.known())}});
+        reported = reported || directory_.complete();
+    }
+}
+
+asio::awaitable<bool> edge_host::take_directory_step(directory_step step,
+                                                     http_connection& connection)
+{
+    if (step == directory_step::read_directory)
+        co_return co_await read_directory(connection);
+    bool const asks = step == directory_step::request_lease;
+    bool const renews = step == directory_step::renew_lease;
+    auto const r = asks     ? platform::lease_request(directory_lease_time)
+                   : renews ? platform::renew_request(directory_.lease())
+                            : platform::register_host_request({settings_.ip, settings_.zone},
+                                                              directory_.lease());
+    metrics_.count("store_calls_total", "calls to the store",
+                   renews ? "kind=\"renew\"" : "kind=\"write\"")++;
+    auto const reply = co_await connection.call(r.method, r.target, r.body, store_call_limit);
+    if (reply && reply->status == http_not_found && !asks)
+    {
+        log::info("host.lease_ended", {{"lease", std::to_string(directory_.lease().value)}});
+        directory_.on_lease_ended();
+        co_return true;
+    }
+    if (!reply || reply->status != http_ok)
+        co_return false;
+    findings problems;
+    if (renews)
+        directory_.on_renewed(boot_time_now());
+    else if (!asks)
+        directory_.on_written();
+    else if (auto const lease = platform::decode_lease(reply->body, problems))
+        directory_.on_lease(*lease, boot_time_now());
+    log_findings(problems);
+    co_return problems.empty();
+}
+
+asio::awaitable<bool> edge_host::read_directory(http_connection& connection)
+{
+    std::string after;
+    bool own_listed = false;
+    for (bool more = true; more;)
+    {
+        auto const r = platform::range_request(platform::section::hosts, after, true);
         metrics_.count("store_calls_total", "calls to the store", "kind=\"range_stale\"")++;
         auto const reply = co_await connection.call(r.method, r.target, r.body, store_call_limit);
         findings problems;
         auto const page = reply && reply->status == http_ok
                               ? platform::decode_page(reply->body, problems)
                               : std::nullopt;
-        if (page)
+        if (!page)
         {
-            read = true;
-            for (peer_address const& p : platform::decode_hosts(page->items, problems))
-                peers_.add(p, boot_time_now());
+            log_findings(problems);
+            co_return false;
+        }
+        for (peer_address const& p : platform::decode_hosts(page->items, problems))
+        {
+            own_listed = own_listed || p.ip == settings_.ip;
+            peers_.add(p, boot_time_now());
         }
         log_findings(problems);
-        if (!(written && read))
-            co_await sleep_for(io_, register_retry);
+        // A page that repeats the one before would be read for ever.
+        more = page->more && !page->items.empty() && page->items.back().key > after;
+        after = page->items.empty() ? after : page->items.back().key;
     }
-    log::info("host.registered", {{"peers", std::to_string(peers_.known())}});
+    directory_.on_directory(own_listed, boot_time_now());
+    co_return true;
 }
 
 asio::awaitable<void> edge_host::fetch_view()
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -95,6 +95,8 @@
         self.mode = {}  # host address -> (mode, delay)
         self.calls = 0
         self.servers = []
+        self.leases = {}  # id -> (end, keys)
+        self.leases_given = 0
         self.lost = 0.0  # share of writes that are done and not answered
 
     def put(self, key, value):
@@ -107,6 +109,11 @@
         if self.items.pop(key, None) is not None:
             self.revision += 1
 
+    def end_leases(self):
+        for lease in [i for i, (end, _) in self.leases.items() if end <= time.monotonic()]:
+            for key in self.leases.pop(lease)[1]:
+                self.remove(key)
+
     async def listen(self, ip, port):
         async def serve(reader, writer):
             try:
@@ -151,14 +158,30 @@
     def answer(self, method, target, body):
         url = urlsplit(target)
         query = {k: v[0] for k, v in parse_qs(url.query).items()}
+        self.end_leases()
         if url.path == "/-/kv-range":
             keys = sorted(k for k in self.items if k.startswith(query["prefix"]) and k > query.get("after", ""))
             page = keys[:10]
             return 200, {"items": [self.row(k, self.items[k]) for k in page], "hasMore": len(keys) > len(page),
                          "asOf": self.revision}
+        if url.path == "/-/kv-lease" and method == "POST":
+            self.leases_given += 1
+            lease, length = self.leases_given, json.loads(body)["ttlMs"]
+            self.leases[lease] = (time.monotonic() + length / 1000, set())
+            return 200, {"leaseId": lease, "ttlMs": length}
+        if url.path.startswith("/-/kv-keep/") and method == "POST":
+            lease = int(url.path.rsplit("/", 1)[1])
+            if lease not in self.leases:
+                return 404, {"error": "no such lease"}
+            self.leases[lease] = (time.monotonic() + 600, self.leases[lease][1])
+            return 200, {"leaseId": lease, "ttlMs": 600000}
         if url.path == "/-/kv-txn" and method == "POST":
             call = json.loads(body)
+            if any(put["leaseId"] and put["leaseId"] not in self.leases for put in call["puts"]):
+                return 404, {"error": "no such lease"}
             for put in call["puts"]:
+                if put["leaseId"]:
+                    self.leases[put["leaseId"]][1].add(put["key"])
                 self.put(put["key"], base64.b64decode(put["value"]))
             for key in call["remove"]:
                 self.remove(key)
--- a/state/edge_types.hpp
+++ b/state/edge_types.hpp
@@ -19,6 +19,9 @@
 // alone, so that a host that has just started maps it like any other. 0 names none.
 using flow_token = strong_id<struct flow_token_tag, std::uint32_t>;
 
+// A lease of the store: what hangs on it is removed when nobody renews it. 0 names none.
+using store_lease = strong_id<struct store_lease_tag, std::uint64_t>;
+
 flow_token token_of(std::string_view upstream_name);
 
 // The incarnation of one upstream as it last described itself.
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -206,11 +206,21 @@
           "/-/kv-range?prefix=servers/");
     CHECK(platform::range_request(section::upstreams, "servers/i-1", true).target ==
           "/-/kv-range?prefix=servers/&after=servers/i-1&allowStale=1");
-    auto const r = platform::register_host_request({0x0A010016, "akl"});
+    auto const r = platform::register_host_request({0x0A010016, "akl"}, {77120});
     CHECK(r.method == "POST");
     CHECK(r.body.find("\"key\":\"chivelever/hosts/10.1.0.22\"") != std::string::npos);
     CHECK(r.body.find("\"value\":\"YWts\"") != std::string::npos);
+    CHECK(r.body.find("\"leaseId\":77120") != std::string::npos);
+    CHECK(platform::lease_request(std::chrono::minutes(10)).body == "{\"ttlMs\":600000}");
+    CHECK(platform::renew_request({77120}).target == "/-/kv-keep/77120");
     findings problems;
+    CHECK(platform::decode_lease("{\"leaseId\":77120,\"ttlMs\":3000}", problems) ==
+          store_lease{77120});
+    CHECK(problems.empty());
+    for (char const* const bad : {"", "[]", "{}", "{\"leaseId\":0}", "{\"leaseId\":\"x\"}"})
+        CHECK_FALSE(platform::decode_lease(bad, problems));
+    CHECK(problems.size() == 5);
+    problems.clear();
     auto const hosts =
         platform::decode_hosts({{"chivelever/hosts/10.1.0.22", "akl", 1}, {"x", "", 2}}, problems);
     REQUIRE(hosts.size() == 1);
