Let refused shares fade without traffic; shorter leases; capacity figures

Found by reading the diff: a service without openings and answers kept its refused share and was reported as overloaded for good, and services of removed configurations were never forgotten. overload_control::expire runs with the other expiries; the test of silence covers it.

The lease of a host's address is two minutes instead of ten: hosts read the directory again each 30 to 45 s and would send beats to the addresses of hosts that are gone for as long as the store lists them.

--- a/bench/edge_packet.cpp
+++ b/bench/edge_packet.cpp
@@ -17,6 +17,7 @@
 std::vector<upstream_entry> service_upstreams()
 {
     std::vector<upstream_entry> out;
+    out.reserve(upstreams);
     for (int i = 0; i < upstreams; ++i)
         out.push_back(make_upstream(i, i % 3 == 0 ? "akl" : i % 3 == 1 ? "wlg" : "chc"));
     return out;
--- a/coordination/edge_router.cpp
+++ b/coordination/edge_router.cpp
@@ -296,6 +296,7 @@
     duration const limit = view_.idle_limit();
     flows_.expire(now, limit == duration{} ? default_idle : limit);
     health_.expire(now);
+    overload_.expire(now);
 }
 
 } // namespace chivelever
--- a/coordination/host_directory.hpp
+++ b/coordination/host_directory.hpp
@@ -22,8 +22,8 @@
     renew_lease
 };
 
-// The store allows leases of up to this length; the longer, the fewer renewals.
-inline constexpr duration directory_lease_time = std::chrono::minutes(10);
+// The address of a host that is gone stays for this long at most, and others try to reach it.
+inline constexpr duration directory_lease_time = std::chrono::minutes(2);
 
 class host_directory
 {
--- a/coordination/overload_control.cpp
+++ b/coordination/overload_control.cpp
@@ -26,6 +26,8 @@
 constexpr double release_factor = 3;
 // A priority that has sent no opening for this long takes no part in the ranking.
 constexpr duration priority_life = 2s;
+// A service without openings and answers for this long is forgotten.
+constexpr duration service_life = 60s;
 // From this share on a service is reported as overloaded; less is the noise of the measurement.
 constexpr double reported_share = 0.05;
 // A caller that is refused stays refused at this host for this long, so that its retries, which
@@ -77,6 +79,7 @@
         {now, static_cast<double>(answer_time.count()) / static_cast<double>(objective.count())});
     if (s.answers.size() > most_answers)
         s.answers.pop_front();
+    s.last_used = now;
     update(s, now);
 }
 
@@ -84,7 +87,7 @@
                               time_point now)
 {
     service_state& s = services_[service];
-    s.openings[priority] = now;
+    s.openings[priority] = s.last_used = now;
     update(s, now);
     auto const turn = static_cast<std::uint64_t>(now.time_since_epoch() / caller_turn);
     double const draw = static_cast<double>(hash_pair(caller.address, turn) >> 11) * 0x1p-53;
@@ -103,6 +106,14 @@
                       settings_.most_refused);
 }
 
+void overload_control::expire(time_point now)
+{
+    for (auto& [service, state] : services_)
+        update(state, now);
+    std::erase_if(services_,
+                  [&](auto const& s) { return now - s.second.last_used > service_life; });
+}
+
 std::map<std::string, double> overload_control::overloaded() const
 {
     std::map<std::string, double> out;
--- a/coordination/overload_control.hpp
+++ b/coordination/overload_control.hpp
@@ -26,7 +26,8 @@
     // twice as long, and are still on time.
     double target{0.55};
     // Change of the refused share per control period, for an error of one objective: by how far the
-    // median is off, and by how fast it moves. PIE's ratio of one to ten.
+    // median is off, and by how fast it moves. With full queues (a median of 1.5 objectives) one
+    // priority is refused after half a second, a third of the time that callers have.
     double integral_gain{0.2};
     double derivative_gain{0.2};
     double most_refused{0.9}; // of any priority
@@ -47,6 +48,8 @@
     double refused_share(std::string const& service, std::uint32_t priority) const;
     // Services of which a part of the openings is refused, with that part of the lowest priority.
     std::map<std::string, double> overloaded() const;
+    // Lets the refused shares of services without traffic fade, and forgets services that are gone.
+    void expire(time_point now);
 
 private:
     struct answer
@@ -61,6 +64,7 @@
         // 0: nothing is refused; each whole `most_refused` is one priority, the lowest first.
         double pressure{};
         time_point period_start{};
+        time_point last_used{};
         std::map<std::uint32_t, time_point> openings; // priority -> latest opening
     };
     void update(service_state& s, time_point now) const;
--- a/tests/overload_control_test.cpp
+++ b/tests/overload_control_test.cpp
@@ -229,6 +229,8 @@
     load.run(5s, [](int) { return 240ms; });
     CHECK(load.control.refused_share(desk, normal) > 0.5);
     load.now += 2s;
+    load.control.expire(load.now);
+    CHECK(load.control.overloaded().empty());
     CHECK(load.control.admits(desk, normal, {1, 1}, load.now));
     CHECK(load.control.refused_share(desk, normal) == 0);
 }
