Pause before a new lease is asked for

Found by reading: a store that answers "no such lease" to each write would have been asked for a lease and a write in turn without a pause. Now both wait for the two seconds of any refused call; the new test counts five leases in ten seconds.

--- a/coordination/host_directory.cpp
+++ b/coordination/host_directory.cpp
@@ -48,7 +48,7 @@
 {
     // A stale reading may miss an address that was just written: only a later one counts.
     if (read_once_ && written_ && !own_address_listed)
-        on_lease_ended();
+        on_lease_ended(now);
     read_once_ = true;
     auto const half = static_cast<std::uint64_t>(read_period.count() / 2);
     read_at_ = now + read_period + duration(static_cast<duration::rep>(random_() % half));
@@ -65,10 +65,11 @@
     written_ = true;
 }
 
-void host_directory::on_lease_ended()
+void host_directory::on_lease_ended(time_point now)
 {
     lease_ = {};
     written_ = false;
+    write_not_before_ = now + retry_period;
 }
 
 void host_directory::on_renewed(time_point now)
--- a/coordination/host_directory.hpp
+++ b/coordination/host_directory.hpp
@@ -41,8 +41,8 @@
     void on_directory(bool own_address_listed, time_point now);
     void on_lease(store_lease lease, time_point now);
     void on_written();
-    // The lease has ended, or never was: a new one, and the address again.
-    void on_lease_ended();
+    // The lease has ended, or never was: a new one, and the address again, after a pause.
+    void on_lease_ended(time_point now);
     void on_renewed(time_point now);
     void on_failure(directory_step step, time_point now);
 
--- a/edge/edge_knowledge.cpp
+++ b/edge/edge_knowledge.cpp
@@ -164,7 +164,7 @@
     if (reply && reply->status == http_not_found && !asks)
     {
         log::info("host.lease_ended", {{"lease", std::to_string(directory_.lease().value)}});
-        directory_.on_lease_ended();
+        directory_.on_lease_ended(boot_time_now());
         co_return true;
     }
     if (!reply || reply->status != http_ok)
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -95,7 +95,7 @@
         self.mode = {}  # host address -> (mode, delay)
         self.calls = 0
         self.servers = []
-        self.leases = {}  # id -> (end, keys)
+        self.leases = {}  # id -> (end, keys, length in ms)
         self.leases_given = 0
         self.lost = 0.0  # share of writes that are done and not answered
 
@@ -110,7 +110,7 @@
             self.revision += 1
 
     def end_leases(self):
-        for lease in [i for i, (end, _) in self.leases.items() if end <= time.monotonic()]:
+        for lease in [i for i, (end, _, _) in self.leases.items() if end <= time.monotonic()]:
             for key in self.leases.pop(lease)[1]:
                 self.remove(key)
 
@@ -167,14 +167,15 @@
         if url.path == "/-/kv-lease" and method == "POST":
             self.leases_given += 1
             lease, length = self.leases_given, json.loads(body)["ttlMs"]
-            self.leases[lease] = (time.monotonic() + length / 1000, set())
+            self.leases[lease] = (time.monotonic() + length / 1000, set(), length)
             return 200, {"leaseId": lease, "ttlMs": length}
         if url.path.startswith("/-/kv-keep/") and method == "POST":
             lease = int(url.path.rsplit("/", 1)[1])
             if lease not in self.leases:
                 return 404, {"error": "no such lease"}
-            self.leases[lease] = (time.monotonic() + 600, self.leases[lease][1])
-            return 200, {"leaseId": lease, "ttlMs": 600000}
+            _, keys, length = self.leases[lease]
+            self.leases[lease] = (time.monotonic() + length / 1000, keys, length)
+            return 200, {"leaseId": lease, "ttlMs": length}
         if url.path == "/-/kv-txn" and method == "POST":
             call = json.loads(body)
             if any(put["leaseId"] and put["leaseId"] not in self.leases for put in call["puts"]):
--- a/tests/host_directory_test.cpp
+++ b/tests/host_directory_test.cpp
@@ -39,7 +39,7 @@
         else if (s == directory_step::write_address)
         {
             holds_address = now < lease_until;
-            holds_address ? d.on_written() : d.on_lease_ended();
+            holds_address ? d.on_written() : d.on_lease_ended(now);
         }
         else if (now < lease_until)
         {
@@ -47,7 +47,7 @@
             d.on_renewed(now);
         }
         else
-            d.on_lease_ended();
+            d.on_lease_ended(now);
     }
 };
 
@@ -108,4 +108,22 @@
     CHECK(d.complete());
 }
 
+// Guards against calls without a pause to a store that takes each lease away at once.
+TEST_CASE("leases that end at once are asked for at a pace", "[edge][directory]")
+{
+    host_directory d(1);
+    int leases = 0;
+    for (time_point now = edge_start; now < edge_start + 10s; now += 50ms)
+    {
+        directory_step const s = d.next(now);
+        if (s == directory_step::read_directory)
+            d.on_directory(false, now);
+        else if (s == directory_step::request_lease)
+            d.on_lease({static_cast<std::uint64_t>(++leases)}, now);
+        else if (s == directory_step::write_address)
+            d.on_lease_ended(now);
+    }
+    CHECK(leases == 5);
+}
+
 } // namespace chivelever
