Share the command line of the daemons, HTTP status codes and base64

The two daemons read their options with the same lines, three files had status codes of their own, and base64 was read twice: by OpenSSL in the store client and by Boost in the platform's. One copy of each now; the behaviour is the same. The vectors of RFC 4648 are a test.

--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -1,7 +1,7 @@
 // chiveleverd: the daemon of one entry host.
 #include "daemon/node.hpp"
+#include "transport/command_line.hpp"
 
-#include <boost/program_options.hpp>
 #include <csignal>
 #include <exception>
 #include <iostream>
@@ -14,9 +14,6 @@
 namespace po = boost::program_options;
 using namespace chivelever;
 
-constexpr int exit_ok = 0;
-constexpr int exit_failed = 1;
-constexpr int exit_usage = 2;
 constexpr char const* version = "chiveleverd 0.1.0";
 
 po::options_description described()
@@ -83,21 +80,9 @@
 int main(int argc, char** argv)
 {
     po::variables_map values;
-    try
-    {
-        po::store(po::parse_command_line(argc, argv, described()), values);
-        po::notify(values);
-    }
-    catch (po::error const& e)
-    {
-        std::cerr << "chiveleverd: " << e.what() << "\nTry chiveleverd --help.\n";
-        return exit_usage;
-    }
-    if (values.count("help") != 0)
-    {
-        std::cout << "Usage: chiveleverd --settings FILE\n" << described();
-        return exit_ok;
-    }
+    if (auto const code =
+            read_command_line(argc, argv, "chiveleverd", "--settings FILE", described(), values))
+        return *code;
     if (values.count("version") != 0)
     {
         std::cout << version << "\n";
--- a/edge/edge_host.cpp
+++ b/edge/edge_host.cpp
@@ -30,9 +30,6 @@
 constexpr duration leave_quiet = 700ms;
 // Kept back from the time until the process is killed, for the last lines of the log.
 constexpr duration leave_reserve = 1s;
-constexpr int http_ok = 200;
-constexpr int http_not_found = 404;
-constexpr int http_unavailable = 503;
 
 std::uint64_t seed_of(edge_settings const& s)
 {
--- a/edge/edge_knowledge.cpp
+++ b/edge/edge_knowledge.cpp
@@ -24,8 +24,6 @@
 // 2,200 upstreams in pages of 50; more is an endless listing.
 constexpr int max_pages = 100;
 constexpr std::size_t others_in_beat = 3;
-constexpr int http_ok = 200;
-constexpr int http_not_found = 404;
 
 std::uint32_t ms_since(time_point then, time_point now)
 {
--- a/edge/main.cpp
+++ b/edge/main.cpp
@@ -1,7 +1,7 @@
 // chivelever-edge: the daemon of an entry host on the users' platform.
 #include "edge/edge_host.hpp"
+#include "transport/command_line.hpp"
 
-#include <boost/program_options.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
@@ -17,9 +17,6 @@
 namespace po = boost::program_options;
 using namespace chivelever;
 
-constexpr int exit_ok = 0;
-constexpr int exit_failed = 1;
-constexpr int exit_usage = 2;
 constexpr char const* settings_variable = "CHIVELEVER_CONFIG";
 // A host takes about 60 openings and requests a second; a burst may be several times that.
 constexpr int log_lines_per_second = 200;
@@ -82,21 +79,9 @@
 int main(int argc, char** argv)
 {
     po::variables_map values;
-    try
-    {
-        po::store(po::parse_command_line(argc, argv, described()), values);
-        po::notify(values);
-    }
-    catch (po::error const& e)
-    {
-        std::cerr << "chivelever-edge: " << e.what() << "\nTry chivelever-edge --help.\n";
-        return exit_usage;
-    }
-    if (values.count("help") != 0)
-    {
-        std::cout << "Usage: chivelever-edge [--settings FILE]\n" << described();
-        return exit_ok;
-    }
+    if (auto const code = read_command_line(argc, argv, "chivelever-edge", "[--settings FILE]",
+                                            described(), values))
+        return *code;
     std::string const path = settings_path(values);
     auto const settings = read_settings(path);
     if (!settings)
--- a/state/state.hpp
+++ b/state/state.hpp
@@ -4,6 +4,7 @@
 #define CHIVELEVER_STATE_STATE_HPP
 
 // IWYU pragma: begin_exports
+#include "state/base64.hpp"
 #include "state/caller_packet.hpp"
 #include "state/checked.hpp"
 #include "state/config.hpp"
--- a/tests/state_test.cpp
+++ b/tests/state_test.cpp
@@ -91,3 +91,19 @@
     CHECK(std::get<heartbeat>(got->message) == h);
     CHECK_FALSE(peer_codec("other").decode(bytes));
 }
+
+// Guards against values of a store that are read shorter or longer than they are; the vectors are
+// those of RFC 4648.
+TEST_CASE("base64 is read and written")
+{
+    std::vector<std::pair<std::string, std::string>> const vectors{
+        {"", ""},        {"f", "Zg=="},        {"fo", "Zm8="},
+        {"foo", "Zm9v"}, {"foob", "Zm9vYg=="}, {"foobar", "Zm9vYmFy"}};
+    for (auto const& [plain, text] : vectors)
+    {
+        CHECK(to_base64(plain) == text);
+        CHECK(from_base64(text) == plain);
+    }
+    CHECK_FALSE(from_base64("Zg="));
+    CHECK_FALSE(from_base64("Z*=="));
+}
--- a/transport/store_client.cpp
+++ b/transport/store_client.cpp
@@ -1,10 +1,11 @@
 #include "transport/store_client.hpp"
 
+#include "state/state.hpp"
 #include "transport/http_client.hpp"
+#include "transport/http_status.hpp"
 
 #include <boost/json.hpp>
 #include <chrono>
-#include <openssl/evp.h>
 
 namespace chivelever
 {
@@ -15,21 +16,6 @@
 constexpr duration call_limit = std::chrono::seconds(2);
 // Time that a watch may take beyond the wait that it asked for.
 constexpr duration watch_margin = std::chrono::seconds(2);
-constexpr int http_ok = 200;
-constexpr int http_not_found = 404;
-
-// Empty if the text is not base64.
-std::string decode_base64(std::string_view text)
-{
-    std::string out(3 * text.size() / 4 + 3, '\0');
-    int const n = EVP_DecodeBlock(reinterpret_cast<unsigned char*>(out.data()),
-                                  reinterpret_cast<unsigned char const*>(text.data()),
-                                  static_cast<int>(text.size()));
-    // OpenSSL counts the padding as bytes.
-    int const padding = text.ends_with("==") ? 2 : text.ends_with("=") ? 1 : 0;
-    out.resize(n < padding ? 0 : static_cast<std::size_t>(n - padding));
-    return out;
-}
 
 // Reads the JSON array of one entry with Value in base64 and ModifyIndex.
 store_value parse_entry(std::string const& body)
@@ -43,7 +29,7 @@
     auto const* const index = entry.if_contains("ModifyIndex");
     if (value == nullptr || !value->is_string() || index == nullptr || !index->is_number())
         return {store_status::unreachable, {}, 0};
-    return {store_status::done, decode_base64(value->as_string()),
+    return {store_status::done, from_base64(value->as_string()).value_or(std::string()),
             index->to_number<std::uint64_t>()};
 }
 
--- a/transport/transport.hpp
+++ b/transport/transport.hpp
@@ -11,6 +11,7 @@
 #include "transport/event_loop.hpp"
 #include "transport/http_client.hpp"
 #include "transport/http_server.hpp"
+#include "transport/http_status.hpp"
 #include "transport/log.hpp"
 #include "transport/loop_http.hpp"
 #include "transport/metrics.hpp"
