Look up counters, routes and upstreams only where they are needed

Each packet built the label text of its counter and searched it under the metrics' lock, and each packet of an open flow searched its route and upstream for the overload control, which wants them only with an answer. The counters are now looked up once for each kind of decision.

--- a/coordination/edge_router.cpp
+++ b/coordination/edge_router.cpp
@@ -31,7 +31,7 @@
 
 std::string_view to_string(packet_reason r)
 {
-    constexpr std::array<std::string_view, 16> names{
+    constexpr std::array<std::string_view, packet_reason_count> names{
         "placed",    "offered_again",        "by_flow",       "by_token",        "not_loaded",
         "no_route",  "no_route_unconfirmed", "no_upstream",   "only_cold",       "unknown_token",
         "no_token",  "route_removed",        "upstream_gone", "upstream_silent", "bad_flags",
@@ -211,10 +211,14 @@
                         time_point now)
 {
     d.seen = flows_.observe(flow, p, now);
-    route_entry const* const route = view_.route(p.flow.destination);
-    known_upstream const* const u = view_.find(flow.upstream);
-    if (d.seen.answer_time && route != nullptr && u != nullptr)
-        overload_.answered(u->entry.service, *d.seen.answer_time, route->latency_objective, now);
+    if (d.seen.answer_time)
+    {
+        route_entry const* const route = view_.route(p.flow.destination);
+        known_upstream const* const u = view_.find(flow.upstream);
+        if (route != nullptr && u != nullptr)
+            overload_.answered(u->entry.service, *d.seen.answer_time, route->latency_objective,
+                               now);
+    }
     if (d.seen.answered)
         health_.progress(flow.upstream, now);
     else if (d.seen.repeated)
--- a/coordination/edge_router.hpp
+++ b/coordination/edge_router.hpp
@@ -28,6 +28,8 @@
     forward,
     reset
 };
+inline constexpr std::size_t packet_action_count =
+    static_cast<std::size_t>(packet_action::reset) + 1;
 
 // Why; the names are labels of the metrics and fields of the log.
 enum class packet_reason : std::uint8_t
@@ -49,6 +51,8 @@
     bad_flags,
     overloaded
 };
+inline constexpr std::size_t packet_reason_count =
+    static_cast<std::size_t>(packet_reason::overloaded) + 1;
 std::string_view to_string(packet_reason r);
 
 struct packet_decision
--- a/edge/edge_host.hpp
+++ b/edge/edge_host.hpp
@@ -6,6 +6,7 @@
 #include "platform/platform.hpp"
 #include "transport/transport.hpp"
 
+#include <array>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -37,6 +38,7 @@
     // Packets (edge_packets.cpp).
     void on_packet(std::string_view bytes);
     void carry_out(packet_decision const& d, std::string_view packet, time_point now);
+    metrics::counter& packet_counter(packet_action action, packet_reason reason);
     void log_decision(packet_decision const& d, std::string_view packet, time_point now);
     void log_suspicion(packet_decision const& d);
     void offer_again();
@@ -81,6 +83,8 @@
     time_point started_;
 
     metrics metrics_;
+    std::array<std::array<metrics::counter*, packet_reason_count>, packet_action_count>
+        packet_counters_{};
     loop_timers timers_;
     deployment_view view_;
     flow_table flows_;
--- a/edge/edge_packets.cpp
+++ b/edge/edge_packets.cpp
@@ -37,7 +37,7 @@
 
 std::string_view name_of(packet_action a)
 {
-    constexpr std::array<std::string_view, 3> names{"drop", "forward", "reset"};
+    constexpr std::array<std::string_view, packet_action_count> names{"drop", "forward", "reset"};
     return names[static_cast<std::size_t>(a)];
 }
 
@@ -80,12 +80,22 @@
     }
 }
 
+// Looked up once for each kind of decision, not for each packet.
+metrics::counter& edge_host::packet_counter(packet_action action, packet_reason reason)
+{
+    metrics::counter*& counter =
+        packet_counters_[static_cast<std::size_t>(action)][static_cast<std::size_t>(reason)];
+    if (counter == nullptr)
+        counter = &metrics_.count("packets_total", "packets of callers by decision",
+                                  "action=\"" + std::string(name_of(action)) + "\",reason=\"" +
+                                      std::string(to_string(reason)) + "\"");
+    return *counter;
+}
+
 // One line for each opening and each request, and for each packet that was not forwarded as usual.
 void edge_host::log_decision(packet_decision const& d, std::string_view packet, time_point now)
 {
-    std::string const reason(to_string(d.reason));
-    metrics_.count("packets_total", "packets of callers by decision",
-                   "action=\"" + std::string(name_of(d.action)) + "\",reason=\"" + reason + "\"")++;
+    ++packet_counter(d.action, d.reason);
     if (d.newly_suspected)
         log_suspicion(d);
     if (d.seen.answer_time)
@@ -105,7 +115,7 @@
               {{"flow", name_of(d.flow)},
                {"request", std::string(request)},
                {"action", std::string(name_of(d.action))},
-               {"reason", reason},
+               {"reason", std::string(to_string(d.reason))},
                {"upstream", u != nullptr ? u->entry.name : ""},
                {"offers", std::to_string(d.offers)},
                {"refused_share", fixed_text(d.refused_share)},
