--- a/coordination/host_directory.cpp
+++ b/coordination/host_directory.cpp
@@ -21,27 +21,25 @@
 
 } // namespace
 
-directory_step host_directory::write_step() const
+time_point host_directory::write_due() const
 {
-    if (lease_.value == 0)
-        return directory_step::request_lease;
-    return written_ ? directory_step::renew_lease : directory_step::write_address;
+    return written_ ? std::max(renew_at_, write_not_before_) : write_not_before_;
 }
 
-directory_step host_directory::next(time_point now) const
+time_point host_directory::due() const
 {
-    if (read_at_ <= now)
-        return directory_step::read_directory;
-    directory_step const write = write_step();
-    bool const idle = write == directory_step::renew_lease && renew_at_ > now;
-    return idle || write_not_before_ > now ? directory_step::wait : write;
+    return std::min(read_at_, write_due());
 }
 
-time_point host_directory::due() const
+directory_step host_directory::next(time_point now) const
 {
-    time_point const write =
-        written_ && lease_.value != 0 ? std::max(renew_at_, write_not_before_) : write_not_before_;
-    return std::min(read_at_, write);
+    if (read_at_ <= now)
+        return directory_step::read_directory;
+    if (write_due() > now)
+        return directory_step::wait;
+    if (written_)
+        return directory_step::renew_lease;
+    return lease_.value == 0 ? directory_step::request_lease : directory_step::write_address;
 }
 
 void host_directory::on_directory(bool own_address_listed, time_point now)
--- a/coordination/host_directory.hpp
+++ b/coordination/host_directory.hpp
@@ -47,7 +47,8 @@
     void on_failure(directory_step step, time_point now);
 
 private:
-    directory_step write_step() const;
+    // When the next write or renewal is due.
+    time_point write_due() const;
 
     std::minstd_rand random_;
     store_lease lease_;
--- a/coordination/overload_control.hpp
+++ b/coordination/overload_control.hpp
@@ -27,7 +27,7 @@
     double target{0.55};
     // Change of the refused share per control period, for an error of one objective: by how far the
     // median is off, and by how fast it moves. With full queues (a median of 1.5 objectives) one
-    // priority is refused after half a second, a third of the time that callers have.
+    // priority is refused after half a second, of the 1.4 s that an opening waits.
     double integral_gain{0.2};
     double derivative_gain{0.2};
     double most_refused{0.9}; // of any priority
--- a/tests/overload_control_test.cpp
+++ b/tests/overload_control_test.cpp
@@ -21,8 +21,8 @@
 constexpr std::uint32_t urgent = 1;
 constexpr std::uint32_t normal = 2;
 
-// Feeds steady answers of one duration, and returns how many of `openings` a second were refused
-// in the last second, by priority.
+// One answer each 5 ms and one opening each 10 ms, of either priority in turn. Counts the openings
+// of the last run that were refused.
 struct steady_load
 {
     overload_control control;
