--- a/scripts/demo_platform.py
+++ b/scripts/demo_platform.py
@@ -46,7 +46,7 @@
         print(f"{ip} ended by itself with code {code}")
     c = world.counts
     times = sorted(t for _, t, o in world.samples if o == "ok") or [0]
-    print(f"platform: asked={c['asked']} late={c['late']} suspicions={suspicions:.0f} store_calls={world.store.calls} "
+    print(f"platform: asked={c['asked']} late={c['late']} unanswered={c['unanswered']} suspicions={suspicions:.0f} store_calls={world.store.calls} "
           f"p50={1000 * times[len(times) // 2]:.1f}ms p99={1000 * times[len(times) * 99 // 100]:.1f}ms "
           f"logs={hosts.folder}")
     print(f"served={c['served']} broken={len(world.violations)} refused={c['refused']}")
--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -370,7 +370,7 @@
         return "silent"
 
     async def request(self, request, limit):
-        """Returns ok, reset or late."""
+        """Returns ok, reset or unanswered."""
         data = f"GET / HTTP/1.1\r\nHost: x\r\nChivelever-Request-Id: {request}\r\n\r\n".encode()
         end = time.monotonic() + limit
         wait = RESEND_FIRST_S
@@ -390,7 +390,7 @@
                     self.transmit(ACK)
                     return "ok"
             wait = min(2 * wait, RESEND_MOST_S)
-        return "late"
+        return "unanswered"
 
     def close(self):
         self.transmit(FIN | ACK)
@@ -444,7 +444,7 @@
                     opened = await flow.open()
                     if opened != "open":
                         self.flows.pop(flow.sport, None)
-                        flow, outcome = None, "refused" if opened == "refused" else "late"
+                        flow, outcome = None, "refused" if opened == "refused" else "unanswered"
                         continue
                 outcome = await flow.request(request, 3.0)
                 if outcome == "ok":
@@ -475,7 +475,7 @@
         self.violations = []
         self.samples = []
         self.stopping = False
-        self.counts = {k: 0 for k in ("asked", "served", "refused", "late", "reset")}
+        self.counts = {k: 0 for k in ("asked", "served", "refused", "late", "reset", "unanswered")}
         self.version = 0
         self.routes = {}
         self.services_ever = {}
