Build HTTP requests in one place

Both clients wrote the same request and had the same limit of a reply; they differ in keeping the connection and in the content type, as before.

--- a/transport/http_client.cpp
+++ b/transport/http_client.cpp
@@ -1,5 +1,7 @@
 #include "transport/http_client.hpp"
 
+#include "transport/http_messages.hpp"
+
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -20,14 +22,10 @@
 namespace
 {
 
-// The largest value of the store is 1 MB; base64 and JSON add a third and a little.
-constexpr std::size_t max_reply_bytes = 4 * 1024 * 1024;
-
 // How soon a cancelled call ends.
 constexpr auto cancel_poll = std::chrono::milliseconds(50);
 
-asio::awaitable<http_reply> exchange(endpoint server, http::request<http::string_body> request,
-                                     duration limit)
+asio::awaitable<http_reply> exchange(endpoint server, http_message request, duration limit)
 {
     beast::tcp_stream stream(co_await asio::this_coro::executor);
     stream.expires_after(limit);
@@ -48,19 +46,10 @@
                                     std::string const& target, std::string const& body,
                                     duration limit, std::atomic<bool> const* cancelled)
 {
-    http::request<http::string_body> request;
-    request.method_string(method);
-    request.target(target);
-    request.version(11);
-    request.set(http::field::host, to_string(server));
-    request.keep_alive(false);
-    request.body() = body;
-    request.prepare_payload();
-
     asio::io_context io{1};
     std::optional<http_reply> result;
     bool done = false;
-    asio::co_spawn(io, exchange(server, std::move(request), limit),
+    asio::co_spawn(io, exchange(server, make_request(server, method, target, body, false), limit),
                    [&result, &done](std::exception_ptr const& error, http_reply reply)
                    {
                        done = true;
--- a/transport/loop_http.cpp
+++ b/transport/loop_http.cpp
@@ -1,5 +1,7 @@
 #include "transport/loop_http.hpp"
 
+#include "transport/http_messages.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -20,8 +22,6 @@
 
 using namespace std::chrono_literals;
 
-// The largest page of the store is 1 MB of values; base64 and JSON add a third and a little.
-constexpr std::size_t max_reply_bytes = 4 * 1024 * 1024;
 constexpr std::size_t max_request_bytes = 8 * 1024;
 // A caller that says nothing for this long loses its connection; probes come twice a second.
 constexpr duration idle_limit = 10s;
@@ -98,15 +98,8 @@
 asio::awaitable<std::optional<http_reply>>
 http_connection::exchange(std::string method, std::string target, std::string body, duration limit)
 {
-    http::request<http::string_body> request;
-    request.method_string(method);
-    request.target(target);
-    request.version(11);
-    request.set(http::field::host, to_string(server_));
+    http_message request = make_request(server_, method, target, std::move(body), true);
     request.set(http::field::content_type, "application/json");
-    request.keep_alive(true);
-    request.body() = std::move(body);
-    request.prepare_payload();
     if (!stream_)
     {
         stream_.emplace(io_);
