Move the daemons' command line into the transport package

The lint asks for one public header a library, so that the shared code is a source of transport with a declaration in transport.hpp. A test covers wrong options and the help.

--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -1,7 +1,8 @@
 // chiveleverd: the daemon of one entry host.
 #include "daemon/node.hpp"
-#include "transport/command_line.hpp"
+#include "transport/transport.hpp"
 
+#include <boost/program_options.hpp>
 #include <csignal>
 #include <exception>
 #include <iostream>
--- a/edge/main.cpp
+++ b/edge/main.cpp
@@ -1,7 +1,8 @@
 // chivelever-edge: the daemon of an entry host on the users' platform.
 #include "edge/edge_host.hpp"
-#include "transport/command_line.hpp"
+#include "transport/transport.hpp"
 
+#include <boost/program_options.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <exception>
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -2,6 +2,7 @@
 #include "transport/transport.hpp"
 
 #include <atomic>
+#include <boost/program_options.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <thread>
@@ -117,6 +118,31 @@
     writer.join();
 }
 
+// Guards against a daemon that starts although its options are wrong.
+TEST_CASE("wrong options end a daemon with the code for usage")
+{
+    namespace po = boost::program_options;
+    po::options_description described("Options");
+    described.add_options()("help", "show this text")("port", po::value<int>(), "a port");
+    auto const read = [&](std::vector<std::string> words, po::variables_map& values)
+    {
+        std::vector<char*> arguments;
+        arguments.reserve(words.size());
+        for (std::string& w : words)
+            arguments.push_back(w.data());
+        return read_command_line(static_cast<int>(arguments.size()), arguments.data(), "program",
+                                 "--port PORT", described, values);
+    };
+    po::variables_map values;
+    CHECK_FALSE(read({"program", "--port", "7"}, values));
+    CHECK(values["port"].as<int>() == 7);
+    po::variables_map wrong;
+    CHECK(read({"program", "--port", "x"}, wrong) == exit_usage);
+    CHECK(read({"program", "--bad"}, wrong) == exit_usage);
+    po::variables_map help;
+    CHECK(read({"program", "--help"}, help) == exit_ok);
+}
+
 // Guards against latencies that can be read only as quantiles of one process, which nobody can add
 // up over several hosts.
 TEST_CASE("latencies are rendered as a histogram and as quantiles")
--- a/transport/transport.hpp
+++ b/transport/transport.hpp
@@ -8,6 +8,7 @@
 #include "protocol/protocol.hpp"
 #include "transport/api.hpp"
 #include "transport/bounded_output.hpp"
+#include "transport/command_line.hpp"
 #include "transport/event_loop.hpp"
 #include "transport/http_client.hpp"
 #include "transport/http_server.hpp"
