--- a/edge/edge_host.hpp
+++ b/edge/edge_host.hpp
@@ -50,8 +50,15 @@
     // Knowledge (edge_knowledge.cpp).
     boost::asio::awaitable<void> read_store_forever();
     boost::asio::awaitable<bool> read_store();
-    boost::asio::awaitable<std::optional<std::vector<platform::stored_item>>>
-    read_section(platform::section s, bool may_be_stale, std::uint64_t& as_of);
+    // All items of a section, or why they could not be read.
+    struct section_reading
+    {
+        std::vector<platform::stored_item> items;
+        std::uint64_t as_of{};
+        std::string failure;
+    };
+    boost::asio::awaitable<section_reading> read_section(http_connection& connection,
+                                                         platform::section s, bool may_be_stale);
     boost::asio::awaitable<void> keep_directory();
     boost::asio::awaitable<bool> take_directory_step(directory_step step,
                                                      http_connection& connection);
--- a/edge/edge_knowledge.cpp
+++ b/edge/edge_knowledge.cpp
@@ -57,24 +57,24 @@
 asio::awaitable<bool> edge_host::read_store()
 {
     time_point const read_at = boot_time_now();
-    std::uint64_t operators_as_of = 0;
-    std::uint64_t upstreams_as_of = 0;
-    auto const operators =
-        co_await read_section(platform::section::operators, false, operators_as_of);
-    if (!operators)
-        co_return false;
+    auto const operators = co_await read_section(store_, platform::section::operators, false);
+    section_reading upstreams;
     // A reading that may be stale costs a tenth; its revision shows whether it is.
-    auto upstreams = co_await read_section(platform::section::upstreams, true, upstreams_as_of);
-    if (upstreams && upstreams_as_of < operators_as_of)
-        upstreams = co_await read_section(platform::section::upstreams, false, upstreams_as_of);
-    if (!upstreams)
+    if (operators.failure.empty())
+        upstreams = co_await read_section(store_, platform::section::upstreams, true);
+    if (operators.failure.empty() && upstreams.failure.empty() && upstreams.as_of < operators.as_of)
+        upstreams = co_await read_section(store_, platform::section::upstreams, false);
+    std::string const& failure = operators.failure.empty() ? upstreams.failure : operators.failure;
+    note_store(failure.empty(), failure);
+    if (!failure.empty())
         co_return false;
-    note_store(true, "");
     metrics_.observe("store_reading_seconds", "one reading of configuration and upstreams",
                      std::chrono::duration<double>(boot_time_now() - read_at).count());
     findings problems;
-    operator_listing const o = platform::decode_operators(*operators, operators_as_of, problems);
-    upstream_listing const u = platform::decode_upstreams(*upstreams, upstreams_as_of, problems);
+    operator_listing const o =
+        platform::decode_operators(operators.items, operators.as_of, problems);
+    upstream_listing const u =
+        platform::decode_upstreams(upstreams.items, upstreams.as_of, problems);
     log_findings(problems);
     std::vector<belief_change> changes;
     bool const applied = view_.apply(o, u, read_at, boot_time_now(), changes);
@@ -83,48 +83,45 @@
     co_return true;
 }
 
-asio::awaitable<std::optional<std::vector<platform::stored_item>>>
-edge_host::read_section(platform::section s, bool may_be_stale, std::uint64_t& as_of)
+asio::awaitable<edge_host::section_reading>
+edge_host::read_section(http_connection& connection, platform::section s, bool may_be_stale)
 {
-    std::vector<platform::stored_item> items;
+    section_reading out;
     for (int page = 0; page < max_pages; ++page)
     {
-        auto const request =
-            platform::range_request(s, items.empty() ? "" : items.back().key, may_be_stale);
+        std::string const after = out.items.empty() ? "" : out.items.back().key;
+        auto const request = platform::range_request(s, after, may_be_stale);
         metrics_.count("store_calls_total", "calls to the store",
                        may_be_stale ? "kind=\"range_stale\"" : "kind=\"range\"")++;
-        auto reply =
-            co_await store_.call(request.method, request.target, request.body, store_call_limit);
+        auto reply = co_await connection.call(request.method, request.target, request.body,
+                                              store_call_limit);
         if (!reply || reply->status != http_ok)
         {
-            note_store(false, reply ? "status " + std::to_string(reply->status) : "no answer");
-            co_return std::nullopt;
+            out.failure = reply ? "status " + std::to_string(reply->status) : "no answer";
+            co_return out;
         }
         findings problems;
         auto decoded = platform::decode_page(reply->body, problems);
         log_findings(problems);
         if (!decoded)
         {
-            note_store(false, "unreadable answer");
-            co_return std::nullopt;
+            out.failure = "unreadable answer";
+            co_return out;
         }
         // Pages are no snapshot: the oldest of them dates the listing.
-        as_of = page == 0 ? decoded->as_of : std::min(as_of, decoded->as_of);
-        bool const advances =
-            decoded->items.empty() || items.empty() || decoded->items.back().key > items.back().key;
-        items.insert(items.end(), std::make_move_iterator(decoded->items.begin()),
-                     std::make_move_iterator(decoded->items.end()));
+        out.as_of = page == 0 ? decoded->as_of : std::min(out.as_of, decoded->as_of);
+        bool const advances = decoded->items.empty() || decoded->items.back().key > after;
+        out.items.insert(out.items.end(), std::make_move_iterator(decoded->items.begin()),
+                         std::make_move_iterator(decoded->items.end()));
         if (!decoded->more || decoded->items.empty())
-            co_return items;
+            co_return out;
         if (!advances)
             break;
     }
-    note_store(false, "pages repeat");
-    co_return std::nullopt;
+    out.failure = "pages repeat";
+    co_return out;
 }
 
-// Hosts find each other in the store: each leaves its address there, and reads those of the others
-// once it runs.
 // Keeps the host's address in the store, and takes over those of the others.
 asio::awaitable<void> edge_host::keep_directory()
 {
@@ -180,32 +177,17 @@
 
 asio::awaitable<bool> edge_host::read_directory(http_connection& connection)
 {
-    std::string after;
+    auto const hosts = co_await read_section(connection, platform::section::hosts, true);
+    if (!hosts.failure.empty())
+        co_return false;
+    findings problems;
     bool own_listed = false;
-    for (bool more = true; more;)
+    for (peer_address const& p : platform::decode_hosts(hosts.items, problems))
     {
-        auto const r = platform::range_request(platform::section::hosts, after, true);
-        metrics_.count("store_calls_total", "calls to the store", "kind=\"range_stale\"")++;
-        auto const reply = co_await connection.call(r.method, r.target, r.body, store_call_limit);
-        findings problems;
-        auto const page = reply && reply->status == http_ok
-                              ? platform::decode_page(reply->body, problems)
-                              : std::nullopt;
-        if (!page)
-        {
-            log_findings(problems);
-            co_return false;
-        }
-        for (peer_address const& p : platform::decode_hosts(page->items, problems))
-        {
-            own_listed = own_listed || p.ip == settings_.ip;
-            peers_.add(p, boot_time_now());
-        }
-        log_findings(problems);
-        // A page that repeats the one before would be read for ever.
-        more = page->more && !page->items.empty() && page->items.back().key > after;
-        after = page->items.empty() ? after : page->items.back().key;
+        own_listed = own_listed || p.ip == settings_.ip;
+        peers_.add(p, boot_time_now());
     }
+    log_findings(problems);
     directory_.on_directory(own_listed, boot_time_now());
     co_return true;
 }
