Extend review case 2 to a start of all hosts

Change: the run ends with a kill of all hosts, and checks how many requests are served after the recovery time. The leaving server sorts behind the foreign entry, so that the entry stays the last one of its page.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,6 @@
-"""DRAIN, EVAC: another writer leaves an entry under servers/ whose key holds a space.
+"""DRAIN, EVAC, RECOVER: another writer leaves an entry under servers/ whose key holds a space.
 
-TROUBLE=0 does the same with a key without a space.
+TROUBLE=0 does the same with a key without a space. Both runs end with the final fault `kill_all`.
 """
 
 import asyncio
@@ -16,6 +16,8 @@
 SERVERS = {"akl": 5, "wlg": 5, "chc": 4}
 NEW_FLOWS_PER_S = 150
 PAGE_ITEMS = 10
+FINAL_DOWN_S = 0.9
+RECOVERY_S = 12.0
 LEAVES_AFTER_S = 6.0  # from the report `draining` to the end of the process
 
 
@@ -63,7 +65,7 @@
     world.log("foreign_entry", key=repr(key))
     await asyncio.sleep(3)
 
-    leaving = next(s for s in world.servers if s.zone == "akl")
+    leaving = [s for s in world.servers if s.zone == "wlg"][-1]  # behind the entry, which stays the tenth
     leaving.drain()
     world.log("draining", server=leaving.id)
     check.evacuated["chc"] = world.store.put("op/evacuate/chc", b"{}")
@@ -72,10 +74,25 @@
     lost = sum(1 for f in leaving.flows.values() for a in f.answers.values() if a is None)
     await leaving.leave()
     world.log("server_ended", server=leaving.id, accepted_requests_lost=lost)
-    await asyncio.sleep(9)
+    await asyncio.sleep(6)
+
+    before = dict(world.outcomes)
+    for host in world.hosts:
+        host.kill()
+    world.log("all_killed")
+    await asyncio.sleep(FINAL_DOWN_S)
+    for host in world.hosts:
+        host.start()
+    await asyncio.sleep(RECOVERY_S)
+    world.outcomes.clear()
+    recovered_from = world.at()
+    await asyncio.sleep(8)
     world.stopping = True
     await asyncio.sleep(3.2)
-    return [f"openings after the bound: {check.late}", f"calls that the store refused: "
+    served, tried = world.outcomes["ok"], sum(world.outcomes.values())
+    if served * 4 < tried:
+        world.violation("RECOVER", f"{served} of {tried} requests after second {recovered_from:.1f} were served")
+    return [f"served after the recovery time: {served} of {tried}; before the final fault: {before}", f"openings after the bound: {check.late}", f"calls that the store refused: "
             f"{sum(n for k, n in world.store.calls.items() if k.startswith('400'))}",
             f"accepted requests that the leaving server lost at its end: {lost}"]
 
