--- a/review/standins/platform_standin.py
+++ b/review/standins/platform_standin.py
@@ -106,6 +106,15 @@
         self.last_lease = 0
         self.calls = collections.Counter()
         self.clients = set()
+        self.silent = False  # down: calls get no answer
+
+    async def outage(self, seconds):
+        """The store is down and silent. Calls of this time are not carried out."""
+        self.silent = True
+        await asyncio.sleep(seconds)
+        self.silent = False
+        for client in list(self.clients):
+            client.transport.abort()
 
     def put(self, key, value):
         self.revision += 1
@@ -130,6 +139,8 @@
                 length = next((int(x.split(":", 1)[1]) for x in lines[1:] if x.lower().startswith("content-length:")), 0)
                 body = await reader.readexactly(length)
                 await asyncio.sleep(0.004)
+                if self.silent:
+                    await asyncio.sleep(3600)
                 request = re.fullmatch(r"(\S+) (\S+) HTTP/1\.1", lines[0])
                 if request:
                     status, answer = self.answer(request[1], request[2], body)
@@ -253,7 +264,8 @@
         if old is not None and self.is_cold() and self.cold_until == self.cold_written:
             entry["warmupLeftMs"] = json.loads(old[0])["warmupLeftMs"]
         self.cold_written = self.cold_until
-        if old is None or {**json.loads(old[0]), "sequence": 0} != {**entry, "sequence": 0}:
+        changed = old is None or {**json.loads(old[0]), "sequence": 0} != {**entry, "sequence": 0}
+        if changed and not self.world.store.silent:
             self.world.store.put(key, json.dumps(entry).encode())
         return time.monotonic()
 
