--- a/review/build.sh
+++ b/review/build.sh
@@ -4,5 +4,6 @@
 set -eu
 cd "$(dirname "$0")"
 python3 -c 'import sys; sys.exit(sys.version_info < (3, 11))' || { echo "Python 3.11 or later is needed" >&2; exit 1; }
-export PYTHONPYCACHEPREFIX="${TMPDIR:-/tmp}/chivelever-review-pycache"
-python3 -m compileall -q standins [1-5]
+cache=$(mktemp -d)
+trap 'rm -rf "$cache"' EXIT
+PYTHONPYCACHEPREFIX="$cache" python3 -m compileall -q standins [1-5]
