--- a/review/2/case.py
+++ b/review/2/case.py
@@ -32,6 +32,8 @@
     def opening_taken(self, server, key):
         now = time.monotonic()
         self.world.log("opening", server=server.id, flow=key)
+        if self.world.is_excused():
+            return
         since = {"DRAIN": server.leaving_since, "EVAC": self.evacuated.get(server.zone)}
         bounds = {"DRAIN": standin.BOUNDS["drainTimeoutMs"], "EVAC": standin.BOUNDS["evacuateMs"]}
         for rule, confirmed in since.items():
@@ -77,6 +79,7 @@
     await asyncio.sleep(6)
 
     before = dict(world.outcomes)
+    world.unplanned(FINAL_DOWN_S)
     for host in world.hosts:
         host.kill()
     world.log("all_killed")
@@ -98,4 +101,4 @@
 
 
 if __name__ == "__main__":
-    standin.main(Path(__file__).resolve().parent, scenario)
+    standin.main(Path(__file__).resolve().parent / sys.argv[1], scenario)
