Log which page of the store failed

Cause: store.lost said "HTTP status 400" for any call of a read, so that a call that the store refuses could not be told from a store that refuses all calls, and the failing page was unknown.

Change: the detail names the request's target.

--- a/edge/edge_sync.cpp
+++ b/edge/edge_sync.cpp
@@ -116,7 +116,8 @@
                                               store_call_timeout);
         if (!reply || reply->status != http_ok)
         {
-            out.failure = reply ? "HTTP status " + std::to_string(reply->status) : "no response";
+            out.failure = (reply ? "HTTP status " + std::to_string(reply->status) : "no response") +
+                          " to " + request.target;
             co_return out;
         }
         findings problems;
