Move the paging of store listings into a class of its own

Cause: the loop that reads a section page by page was part of the host's coroutine, where no unit test reached it.

Change: platform::listing_reader makes the requests and collects the pages; edge_host only sends them. No change of behaviour.

--- a/edge/edge_sync.cpp
+++ b/edge/edge_sync.cpp
@@ -24,8 +24,6 @@
 constexpr duration max_directory_sleep = 1s;
 // Key of the order in which hosts register in the directory.
 constexpr std::uint64_t directory_rank_key = 0;
-// 2,200 upstreams need 44 pages of 50; a listing above the limit is treated as endless.
-constexpr int max_pages = 100;
 // Mostly hosts of the sender's own zone, which it knows best.
 constexpr std::size_t max_hosts_to_other_zones = 4;
 // Older answers say nothing about a suspicion: the first probe began at most this long ago.
@@ -106,14 +104,14 @@
 edge_host::read_section(http_connection& connection, platform::section s, bool allow_stale)
 {
     section_result out;
-    for (int page = 0; page < max_pages; ++page)
+    platform::listing_reader listing(s, allow_stale);
+    while (listing.state() == platform::listing_state::incomplete)
     {
-        std::string const after = out.items.empty() ? "" : out.items.back().key;
-        auto const request = platform::range_request(s, after, allow_stale);
+        auto const request = listing.next_request();
         metrics_.count("store_calls_total", "calls to the store",
                        allow_stale ? "kind=\"range_stale\"" : "kind=\"range\"")++;
-        auto reply = co_await connection.call(request.method, request.target, request.body,
-                                              store_call_timeout);
+        auto const reply = co_await connection.call(request.method, request.target, request.body,
+                                                    store_call_timeout);
         if (!reply || reply->status != http_ok)
         {
             out.failure = (reply ? "HTTP status " + std::to_string(reply->status) : "no response") +
@@ -121,26 +119,19 @@
             co_return out;
         }
         findings problems;
-        auto decoded = platform::decode_page(s, reply->body, problems);
+        listing.add_page(reply->body, problems);
         report_findings(problems);
-        if (!decoded)
-        {
-            // The responses on this connection may be out of step with the requests.
-            connection.close();
-            out.failure = "invalid response";
-            co_return out;
-        }
-        // Pages do not form a snapshot, so the listing is only as recent as its oldest page.
-        out.as_of = page == 0 ? decoded->as_of : std::min(out.as_of, decoded->as_of);
-        bool const advances = decoded->items.empty() || decoded->items.back().key > after;
-        out.items.insert(out.items.end(), std::make_move_iterator(decoded->items.begin()),
-                         std::make_move_iterator(decoded->items.end()));
-        if (!decoded->has_more || decoded->items.empty())
-            co_return out;
-        if (!advances)
-            break;
     }
-    out.failure = "pagination does not terminate";
+    if (listing.state() == platform::listing_state::invalid)
+    {
+        // The responses on this connection may be out of step with the requests.
+        connection.close();
+        out.failure = "invalid response";
+    }
+    else if (listing.state() == platform::listing_state::endless)
+        out.failure = "pagination does not terminate";
+    out.as_of = listing.as_of();
+    out.items = listing.take_items();
     co_return out;
 }
 
