Skip entries of upstreams with values that no upstream has

Seen: an entry by another writer could become an upstream that gets new flows, which nobody answers, or make the views of a host too large to pass on.

Cause: decode_upstream clamped numbers that are too large (maxConcurrency, warmupLeftMs) or let them wrap (born), and took any text and any IPv4 address. parse_endpoint ignored what follows a null character in the address. A warm-up of more than ten minutes was cut to ten.

Evidence: of the new tests, "entries of upstreams with excessive numbers", "... invalid addresses" (5 of 20), "... excessive text" and "a view with foreign entries can be passed on" failed on the code before; "deeply nested entries of upstreams are skipped" passed: the JSON parser bounds the depth.

The rate of a cold upstream is bounded like its time.

--- a/state/ids.cpp
+++ b/state/ids.cpp
@@ -17,7 +17,8 @@
 endpoint parse_endpoint(std::string const& text)
 {
     auto const colon = text.rfind(':');
-    if (colon == std::string::npos)
+    // inet_pton stops at a null character.
+    if (colon == std::string::npos || text.find('\0') != std::string::npos)
         return {};
     in_addr raw{};
     if (::inet_pton(AF_INET, text.substr(0, colon).c_str(), &raw) != 1)
--- /dev/null
+++ b/tests/foreign_entry_test.cpp
@@ -0,0 +1,174 @@
+// Entries that another writer leaves among those of the upstreams or hosts, at every place that
+// reads them: the pages of the store, views and heartbeats between hosts, and the host list of
+// chiveleverd. Such an entry must affect neither the others nor the process.
+#include "platform/platform.hpp"
+#include "tests/edge_fixture.hpp"
+#include "transport/transport.hpp"
+
+#include <array>
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+namespace chivelever
+{
+
+namespace
+{
+
+using platform::section;
+
+constexpr std::size_t excessive_depth = 200'000;
+
+std::string repeated(std::string_view text, std::size_t times)
+{
+    std::string out;
+    for (std::size_t i = 0; i < times; ++i)
+        out += text;
+    return out;
+}
+
+std::string nested_arrays()
+{
+    return repeated("[", excessive_depth) + repeated("]", excessive_depth);
+}
+
+std::string nested_objects()
+{
+    return repeated("{\"a\":", excessive_depth) + "1" + repeated("}", excessive_depth);
+}
+
+// JSON numbers beyond what any field holds.
+std::vector<std::string> excessive_numbers()
+{
+    return {"1e400",
+            "-1e400",
+            "1e99999999999",
+            "18446744073709551616",
+            "18446744073709551615",
+            "9223372036854775808",
+            "1e30",
+            repeated("9", 5000)};
+}
+
+// A valid entry in which `member` replaces the member of the same name.
+std::string entry_with(std::string const& member)
+{
+    return R"({"service":"desk","address":"10.128.0.9:8080","zone":"akl","maxConcurrency":2,)"
+           R"("state":"ready","warmupLeftMs":250,"sequence":4,"born":1700000000123,)" +
+           member + "}";
+}
+
+// Reads the value as one of three entries. Returns whether it was skipped and the others were not.
+bool is_skipped(std::string const& key, std::string const& value)
+{
+    std::string const valid = entry_with("\"version\":\"v1\"");
+    boost::json::array items;
+    for (auto const& [k, v] : {std::pair("servers/i-1", &valid), std::pair(key.c_str(), &value),
+                               std::pair("servers/i-ffff", &valid)})
+        items.push_back({{"key", k}, {"value", to_base64(*v)}, {"revision", 5}});
+    findings problems;
+    auto const page = platform::decode_page(
+        section::upstreams,
+        boost::json::serialize(boost::json::object{{"items", items}, {"asOf", 9}}), problems);
+    if (!page)
+        return false;
+    auto const listing = platform::decode_upstreams(page->items, page->as_of, problems);
+    bool const others = listing.entries.size() >= 2 && listing.entries.front().name == "i-1" &&
+                        listing.entries.back().name == "i-ffff";
+    return others && listing.entries.size() == 2 && problems.size() == 1;
+}
+
+} // namespace
+
+// Guards against a stack overflow in the parser, and against a document that is refused as a whole.
+TEST_CASE("deeply nested entries of upstreams are skipped", "[foreign]")
+{
+    CHECK(is_skipped("servers/i-2", nested_arrays()));
+    CHECK(is_skipped("servers/i-2", nested_objects()));
+    CHECK(is_skipped("servers/i-2", repeated("[", excessive_depth)));
+    for (char const* const name : {"service", "address", "maxConcurrency", "sequence", "unknown"})
+    {
+        INFO(name);
+        CHECK(is_skipped("servers/i-2",
+                         entry_with("\"" + std::string(name) + "\":" + nested_arrays())));
+        CHECK(is_skipped("servers/i-2",
+                         entry_with("\"" + std::string(name) + "\":" + nested_objects())));
+    }
+}
+
+// Guards against clamped or truncated numbers: with them, an entry that names no upstream got new
+// flows.
+TEST_CASE("entries of upstreams with excessive numbers are skipped", "[foreign]")
+{
+    for (std::string const& number : excessive_numbers())
+        for (char const* const name : {"maxConcurrency", "warmupLeftMs", "born", "service"})
+        {
+            INFO(name << " " << number.substr(0, 30));
+            CHECK(is_skipped("servers/i-2", entry_with("\"" + std::string(name) + "\":" + number)));
+        }
+    CHECK(is_skipped("servers/i-2", entry_with("\"maxConcurrency\":4294967296")));
+    CHECK(is_skipped("servers/i-2", entry_with("\"warmupLeftMs\":4294967296")));
+}
+
+// Guards against flows that are sent to an address that no upstream has.
+TEST_CASE("entries of upstreams with invalid addresses are skipped", "[foreign]")
+{
+    for (std::string const& address : std::vector<std::string>{"10.128.0.9:65536",
+                                                               "10.128.0.9:0",
+                                                               "10.128.0.9:-1",
+                                                               "10.128.0.9:+80",
+                                                               "10.128.0.9: 80",
+                                                               "10.128.0.9:80 ",
+                                                               "10.128.0.9:0x50",
+                                                               "10.128.0.9:",
+                                                               "10.128.0.9:99999999999999999999",
+                                                               "10.128.0.9:8080:1",
+                                                               "10.128.0.256:80",
+                                                               "10.128.0:80",
+                                                               ":80",
+                                                               "0.0.0.0:80",
+                                                               "0.1.2.3:80",
+                                                               "255.255.255.255:80",
+                                                               "224.0.0.1:80",
+                                                               "10.128.0.9\\u0000:80",
+                                                               "[::1]:80",
+                                                               "localhost:80"})
+    {
+        INFO(address);
+        CHECK(is_skipped("servers/i-2", entry_with("\"address\":\"" + address + "\"")));
+    }
+}
+
+// Guards against text that makes the messages between hosts too large.
+TEST_CASE("entries of upstreams with excessive text are skipped", "[foreign]")
+{
+    std::string const text = repeated("z", 500'000);
+    for (char const* const name : {"service", "zone", "address", "state"})
+        CHECK(is_skipped("servers/i-2",
+                         entry_with("\"" + std::string(name) + "\":\"" + text + "\"")));
+}
+
+// Guards against a view of one host that the others refuse because of what it read from the store.
+TEST_CASE("a view with foreign entries can be passed on", "[foreign]")
+{
+    std::vector<platform::stored_item> items{{"servers/i-1", entry_with("\"version\":\"v1\""), 3}};
+    for (std::string const& number : excessive_numbers())
+        items.push_back({"servers/i-2" + std::to_string(items.size()),
+                         entry_with("\"maxConcurrency\":" + number), 3});
+    items.push_back({"servers/i-3 \x01\"\\", entry_with("\"zone\":\"\\u0001\\\"\""), 3});
+    findings problems;
+    deployment_view view;
+    std::vector<view_change> changes;
+    view.apply(make_operators(9, 1), platform::decode_upstreams(items, 9, problems), edge_start,
+               edge_start, changes);
+    auto const passed_on = decode_view(encode_view(view.changes_since(0, 0, edge_start)));
+    REQUIRE(passed_on);
+    CHECK(passed_on->upstreams.entries.size() == 2);
+    deployment_view other;
+    CHECK(other.apply(*passed_on, edge_start, changes));
+    CHECK(other.version().digest == view.version().digest);
+}
+
+} // namespace chivelever
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -146,6 +146,7 @@
     REQUIRE(listing.config);
     REQUIRE(listing.config->services.size() == 1);
     CHECK(listing.config->services[0].cold_time == std::chrono::hours(24));
+    CHECK(listing.config->services[0].cold_requests_per_s <= 1e6);
 }
 
 // The packet header must be decoded and encoded exactly as the platform specifies it.
