--- a/tests/foreign_entry_test.cpp
+++ b/tests/foreign_entry_test.cpp
@@ -150,6 +150,37 @@
                          entry_with("\"" + std::string(name) + "\":\"" + text + "\"")));
 }
 
+// Guards against one key that makes a page unreadable, or the view of a host for all others.
+TEST_CASE("keys that are not valid UTF-8 name no upstream", "[foreign]")
+{
+    for (std::string const& odd : std::vector<std::string>{"\xff", "\xc3", "\xed\xa0\x80", "\x80x"})
+        CHECK(is_skipped("servers/i-2" + odd, entry_with("\"version\":\"v1\"")));
+}
+
+// Guards against a listing that ends early, so that the upstreams of later pages count as removed.
+TEST_CASE("a page of items that cannot be decoded does not end the listing", "[foreign]")
+{
+    findings problems;
+    platform::listing_reader listing(section::upstreams, true);
+    listing.add_page(
+        R"({"items":[{"key":"servers/i-1","value":7,"revision":3}],"hasMore":true,"asOf":9})",
+        problems);
+    REQUIRE(listing.state() == platform::listing_state::incomplete);
+    CHECK(listing.next_request().target ==
+          "/-/kv-range?prefix=servers/&after=servers/i-1&allowStale=1");
+    listing.add_page(
+        R"({"items":[{"key":"servers/i-2","value":"","revision":3}],"hasMore":false,"asOf":9})",
+        problems);
+    CHECK(listing.state() == platform::listing_state::complete);
+    CHECK(listing.take_items().size() == 1);
+    CHECK(problems.size() == 1);
+
+    platform::listing_reader without_keys(section::upstreams, true);
+    without_keys.add_page(R"({"items":[{"value":"","revision":3}],"hasMore":true,"asOf":9})",
+                          problems);
+    CHECK(without_keys.state() == platform::listing_state::endless);
+}
+
 // Guards against a view of one host that the others refuse because of what it read from the store.
 TEST_CASE("a view with foreign entries can be passed on", "[foreign]")
 {
