Skip host entries and evacuations that cannot be passed on

Cause: the zone of a host entry and the name of an evacuated zone were taken as they are. Hosts pass both on: text that is not UTF-8 makes every heartbeat or view with it unreadable for the others, and long text makes heartbeats larger than a datagram.

Change: such an item is skipped with a finding, as is a host whose address no single host can have.

--- a/tests/foreign_entry_test.cpp
+++ b/tests/foreign_entry_test.cpp
@@ -181,6 +181,34 @@
     CHECK(without_keys.state() == platform::listing_state::endless);
 }
 
+// Guards against heartbeats that no host can decode: a host relays the zones of others as it read
+// them from the store.
+TEST_CASE("host entries with an invalid address or zone are skipped", "[foreign]")
+{
+    std::string const prefix = "chivelever/hosts/";
+    findings problems;
+    auto const hosts = platform::decode_hosts({{prefix + "10.1.0.1", "akl", 1},
+                                               {prefix + "10.1.0.2", "\xff", 1},
+                                               {prefix + "10.1.0.3", "", 1},
+                                               {prefix + "10.1.0.4", repeated("z", 100'000), 1},
+                                               {prefix + "0.0.0.0", "akl", 1},
+                                               {prefix + "255.255.255.255", "akl", 1},
+                                               {prefix + "10.1.0.5", "wlg", 1}},
+                                              problems);
+    CHECK(hosts == std::vector<peer_address>{{0x0A010001, "akl"}, {0x0A010005, "wlg"}});
+    CHECK(problems.size() == 5);
+}
+
+// Guards against a view that no host can decode, since evacuated zones are part of it.
+TEST_CASE("evacuations of zones with an invalid name are skipped", "[foreign]")
+{
+    findings problems;
+    auto const o = platform::decode_operators(
+        {{"op/evacuate/\xff", "{}", 3}, {"op/evacuate/wlg", "{}", 4}}, 9, problems);
+    CHECK(o.evacuated_zones == std::set<std::string>{"wlg"});
+    CHECK(problems.size() == 1);
+}
+
 // Guards against a view of one host that the others refuse because of what it read from the store.
 TEST_CASE("a view with foreign entries can be passed on", "[foreign]")
 {
