Refuse numbers out of range in messages of other hosts

Cause: addresses with more than 48 bits were truncated to another address and port, durations of any size were added to times, and the age of a view could wrap around when the receiver added the time on the way, so that an old view counted as young.

Change: numbers out of range make the message unreadable; it is refused and counted as before. The age of a view saturates at both ends.

--- a/coordination/deployment_view.cpp
+++ b/coordination/deployment_view.cpp
@@ -1,6 +1,7 @@
 #include "coordination/deployment_view.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace chivelever
 {
@@ -386,8 +387,9 @@
     peer_view out;
     out.complete = as_of == 0;
     out.digest = version().digest;
-    out.view_age_ms = static_cast<std::uint32_t>(std::max(duration{}, now - confirmed_at_) /
-                                                 std::chrono::milliseconds(1));
+    auto const age_ms = std::max(duration{}, now - confirmed_at_) / std::chrono::milliseconds(1);
+    out.view_age_ms = static_cast<std::uint32_t>(
+        std::min<std::int64_t>(age_ms, std::numeric_limits<std::uint32_t>::max()));
     out.operators = {as_of_, std::nullopt, evacuated_};
     bool const lacks_config = config_ && (out.complete || config_->version > config_version);
     if (lacks_config && (out.complete || !config_difference(config_version, out)))
--- a/protocol/edge_codec.cpp
+++ b/protocol/edge_codec.cpp
@@ -1,8 +1,10 @@
 #include "protocol/edge_codec.hpp"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <cinttypes>
 #include <cstdio>
+#include <limits>
 
 namespace chivelever
 {
@@ -16,6 +18,11 @@
 // member names would triple their size. The first element is the layout version.
 constexpr std::int64_t heartbeat_layout_version = 1;
 constexpr std::int64_t view_layout_version = 3;
+constexpr std::uint64_t max_packed_endpoint = 0xFFFF'FFFF'FFFF; // 32 bits of address, 16 of port
+constexpr double max_requests_per_s = 1e6;
+// Leaves room for the time on the way, which the receiver adds.
+constexpr std::uint32_t max_view_age_ms = 0x7FFF'FFFF;
+constexpr std::int64_t max_duration_us = 86'400'000'000; // a day
 
 template<class Int>
 Int number(json::value const& v)
@@ -29,6 +36,27 @@
     return {s.data(), s.size()};
 }
 
+// Throws std::out_of_range if the number is not in the range. Sums and products of the decoded
+// numbers must not overflow.
+template<class Int>
+Int number_in(json::value const& v, Int low, Int high)
+{
+    auto const n = number<Int>(v);
+    if (n < low || n > high)
+        throw std::out_of_range("number is out of range");
+    return n;
+}
+
+duration decode_duration(json::value const& v)
+{
+    return duration(number_in<std::int64_t>(v, 0, max_duration_us));
+}
+
+endpoint decode_endpoint(json::value const& v)
+{
+    return endpoint::from_packed(number_in<std::uint64_t>(v, 0, max_packed_endpoint));
+}
+
 json::array encode_upstream(upstream_entry const& e)
 {
     return {e.name,  e.datagram_address, e.address.packed(), e.service,         e.zone,
@@ -41,10 +69,10 @@
     upstream_entry e;
     e.name = text(row.at(0));
     e.datagram_address = number<std::uint64_t>(row.at(1));
-    e.address = endpoint::from_packed(number<std::uint64_t>(row.at(2)));
+    e.address = decode_endpoint(row.at(2));
     e.service = text(row.at(3));
     e.zone = text(row.at(4));
-    e.slots = number<std::uint32_t>(row.at(5));
+    e.slots = number_in<std::uint32_t>(row.at(5), 1, std::numeric_limits<std::uint32_t>::max());
     e.draining = row.at(6).as_bool();
     e.cold_left_ms = number<std::uint32_t>(row.at(7));
     e.started_unix_ms = number<std::int64_t>(row.at(8));
@@ -65,12 +93,12 @@
 {
     auto const& row = v.as_array();
     route_entry r;
-    r.destination = endpoint::from_packed(number<std::uint64_t>(row.at(0)));
+    r.destination = decode_endpoint(row.at(0));
     for (json::value const& t : row.at(1).as_array())
         r.targets.push_back({text(t.as_array().at(0)), number<std::uint32_t>(t.as_array().at(1))});
     r.priority = number<std::uint32_t>(row.at(2));
-    r.timeout = duration(number<std::int64_t>(row.at(3)));
-    r.latency_objective = duration(number<std::int64_t>(row.at(4)));
+    r.timeout = decode_duration(row.at(3));
+    r.latency_objective = decode_duration(row.at(4));
     if (r.targets.empty())
         throw std::out_of_range("route has no targets");
     return r;
@@ -96,12 +124,13 @@
     auto const& row = v.as_array();
     edge_config c;
     c.version = number<std::uint64_t>(row.at(0));
-    c.idle_limit = duration(number<std::int64_t>(row.at(1)));
+    c.idle_limit = decode_duration(row.at(1));
     for (json::value const& r : row.at(2).as_array())
         c.routes.push_back(decode_route(r));
     for (json::value const& s : row.at(3).as_array())
-        c.services.push_back({text(s.as_array().at(0)), number<double>(s.as_array().at(1)),
-                              duration(number<std::int64_t>(s.as_array().at(2)))});
+        c.services.push_back({text(s.as_array().at(0)),
+                              number_in<double>(s.as_array().at(1), 0, max_requests_per_s),
+                              decode_duration(s.as_array().at(2))});
     return c;
 }
 
@@ -256,7 +285,7 @@
             if (number<std::int64_t>(row.at(0)) != view_layout_version)
                 throw std::out_of_range("unknown layout version");
             peer_view out;
-            out.view_age_ms = number<std::uint32_t>(row.at(1));
+            out.view_age_ms = std::min(number<std::uint32_t>(row.at(1)), max_view_age_ms);
             out.operators.as_of = number<std::uint64_t>(row.at(2));
             out.operators.config = decode_config(row.at(3));
             for (json::value const& z : row.at(4).as_array())
@@ -270,7 +299,7 @@
                 out.removed.push_back(text(name));
             out.config_base = number<std::uint64_t>(row.at(10));
             for (json::value const& e : row.at(11).as_array())
-                out.dropped_routes.push_back(endpoint::from_packed(number<std::uint64_t>(e)));
+                out.dropped_routes.push_back(decode_endpoint(e));
             return out;
         });
 }
--- a/tests/foreign_entry_test.cpp
+++ b/tests/foreign_entry_test.cpp
@@ -209,6 +209,42 @@
     CHECK(problems.size() == 1);
 }
 
+// Guards against arithmetic overflow on numbers of other hosts, and against truncated addresses.
+TEST_CASE("views and heartbeats with excessive numbers or nesting are refused", "[foreign]")
+{
+    peer_view v;
+    v.operators = make_operators(30, 4);
+    v.upstreams = {31, {make_upstream(1)}};
+    std::string const view = encode_view(v);
+    REQUIRE(decode_view(view) == v);
+    auto const decodes_with = [&](std::string const& from, std::string const& to)
+    {
+        std::string text = view;
+        auto const at = text.find(from);
+        REQUIRE(at != std::string::npos);
+        return decode_view(text.replace(at, from.size(), to)).has_value();
+    };
+    std::string const address = std::to_string(make_upstream(1).address.packed());
+    std::string const route = std::to_string(desk_route.packed());
+    std::vector<std::string> odd = excessive_numbers();
+    odd.insert(odd.end(), {"-1", "281474976710656", nested_arrays(), nested_objects()});
+    for (std::string const& number : odd)
+    {
+        INFO(number.substr(0, 30));
+        CHECK_FALSE(decodes_with("[" + route, "[" + number));
+        CHECK_FALSE(decodes_with("," + address + ",", "," + number + ","));
+        CHECK_FALSE(decodes_with(",3000000,", "," + number + ","));  // timeout
+        CHECK_FALSE(decodes_with(",15000000,", "," + number + ",")); // idle limit
+        CHECK_FALSE(decodes_with(",2000000]", "," + number + "]"));  // cold time
+        CHECK_FALSE(decodes_with("\"akl\",2,", "\"akl\"," + number + ","));
+        CHECK_FALSE(decode_heartbeat("[1,[" + number + ",\"akl\"],false,1,1,1,1,[],[],[]]"));
+    }
+    CHECK_FALSE(decodes_with("\"akl\",2,", "\"akl\",0,")); // no slots
+    auto const old = decode_view("[3,4294967295,5,[3,0,[],[]],[],5,[],true,1,[],0,[]]");
+    REQUIRE(old);
+    CHECK(old->view_age_ms + 60'000 > old->view_age_ms);
+}
+
 // Guards against a view of one host that the others refuse because of what it read from the store.
 TEST_CASE("a view with foreign entries can be passed on", "[foreign]")
 {
