Skip invalid entries of the host list instead of refusing the list

Seen: with one odd entry in the host list, chiveleverd kept its previous list (hosts.unreadable) for as long as the entry was there. Hosts and upstreams that left or joined meanwhile were not noticed.

Cause: the list is decoded strictly as one document. Excessive nesting or a number with a very large exponent in one entry failed the parser, any other finding the list.

Change: entries that cannot be parsed by themselves are taken out before the document is parsed, and entries with findings are skipped and logged as hosts.entry_skipped. The document itself and its version stay strict. The log of a refused list names the findings.

--- a/daemon/config_agent.cpp
+++ b/daemon/config_agent.cpp
@@ -60,18 +60,21 @@
 
 void config_agent::apply_host_list(std::string const& json)
 {
-    auto list = decode_host_list(json);
+    findings problems;
+    findings skipped;
+    auto list = value_or_findings([&] { return decode_host_list(json, skipped); }, problems);
+    for (finding const& f : problems)
+        log::warning("hosts.unreadable", {{"finding", to_string(f)}});
     if (!list)
-    {
-        log::warning("hosts.unreadable");
         return;
-    }
     {
         std::lock_guard const lock(mutex_);
         if (list->version <= host_list_.version)
             return;
         host_list_ = std::move(*list);
     }
+    for (finding const& f : skipped)
+        log::warning("hosts.entry_skipped", {{"finding", to_string(f)}});
     publish();
 }
 
--- a/protocol/config_json.cpp
+++ b/protocol/config_json.cpp
@@ -441,14 +441,23 @@
                   });
 }
 
-checked<host_list> decode_host_list(std::string_view text)
+checked<host_list> decode_host_list(std::string_view text, findings& skipped)
 {
-    return decode(text, max_document_bytes,
-                  [](json_reader& r, findings& found)
+    return decode(replace_invalid_elements(text), max_document_bytes,
+                  [&](json_reader& r, findings&)
                   {
                       host_list l;
                       l.version = r.integer<std::uint64_t>("version", max_json_integer);
-                      l.hosts = read_list(r, "hosts", "host", max_items, found, read_listed);
+                      std::size_t n = 0;
+                      for (json::value const& v : r.array("hosts", max_items))
+                      {
+                          findings found;
+                          listed_host const host =
+                              read_listed(v, "host " + std::to_string(++n), found);
+                          if (found.empty())
+                              l.hosts.push_back(host);
+                          skipped.insert(skipped.end(), found.begin(), found.end());
+                      }
                       return l;
                   });
 }
--- a/protocol/config_json.hpp
+++ b/protocol/config_json.hpp
@@ -35,7 +35,8 @@
 
 checked<fleet_config> decode_config(std::string_view text);
 checked<config_change> decode_change(std::string_view text);
-checked<host_list> decode_host_list(std::string_view text);
+// Entries that are invalid are skipped, with a finding for each, because the others still hold.
+checked<host_list> decode_host_list(std::string_view text, findings& skipped);
 checked<event> decode_event(std::string_view text);
 
 // A change as proposed by a client: without a revision of its own, optionally with the base
--- a/protocol/json_reader.cpp
+++ b/protocol/json_reader.cpp
@@ -10,6 +10,26 @@
 {
 constexpr std::size_t max_depth = 8; // a change has 4 nested levels
 boost::json::array const empty_array;
+constexpr std::size_t array_depth = 2; // of the arrays in the top-level object
+
+boost::json::parse_options bounded_depth(std::size_t depth)
+{
+    boost::json::parse_options options;
+    options.max_depth = depth;
+    return options;
+}
+
+bool parses(std::string_view text)
+{
+    boost::json::error_code error;
+    boost::json::parse(text, error, {}, bounded_depth(max_depth - array_depth));
+    return !error;
+}
+
+bool is_blank(std::string_view text)
+{
+    return text.find_first_not_of(" \t\r\n") == std::string_view::npos;
+}
 } // namespace
 
 std::optional<boost::json::value> parse_object(std::string_view text, std::size_t limit,
@@ -20,10 +40,8 @@
         found.push_back({"", "", "", 0, "larger than " + std::to_string(limit) + " bytes"});
         return {};
     }
-    boost::json::parse_options options;
-    options.max_depth = max_depth;
     boost::json::error_code error;
-    boost::json::value value = boost::json::parse(text, error, {}, options);
+    boost::json::value value = boost::json::parse(text, error, {}, bounded_depth(max_depth));
     if (error)
     {
         found.push_back({"", "", "", 0, "not JSON: " + error.message()});
@@ -37,6 +55,58 @@
     return value;
 }
 
+std::string replace_invalid_elements(std::string_view text)
+{
+    std::string out;
+    out.reserve(text.size());
+    std::size_t copied = 0; // bytes of the text that are in `out`
+    std::size_t depth = 0;
+    bool in_string = false;
+    bool in_array = false; // directly, in an array of the top-level object
+    auto const end_element = [&](std::size_t end)
+    {
+        std::string_view const element = text.substr(copied, end - copied);
+        out += is_blank(element) || parses(element) ? element : "null";
+        copied = end;
+    };
+    auto const copy_until = [&](std::size_t end)
+    {
+        out += text.substr(copied, end - copied);
+        copied = end;
+    };
+    for (std::size_t i = 0; i < text.size(); ++i)
+    {
+        char const c = text[i];
+        if (in_string)
+        {
+            i += c == '\\' ? 1 : 0;
+            in_string = c != '"';
+        }
+        else if (c == '"')
+            in_string = true;
+        else if (c == '[' || c == '{')
+        {
+            ++depth;
+            if (depth == array_depth && c == '[')
+            {
+                in_array = true;
+                copy_until(i + 1);
+            }
+        }
+        else if (depth == array_depth && in_array && (c == ',' || c == ']'))
+        {
+            end_element(i);
+            copy_until(i + 1);
+            in_array = c == ',';
+            depth -= c == ']' ? 1 : 0;
+        }
+        else if ((c == ']' || c == '}') && depth > 0)
+            --depth;
+    }
+    copy_until(text.size());
+    return out;
+}
+
 json_reader::json_reader(boost::json::value const& value, std::string location, findings& found)
     : object_(value.if_object()), location_(std::move(location)), findings_(found)
 {
--- a/protocol/json_reader.hpp
+++ b/protocol/json_reader.hpp
@@ -22,6 +22,10 @@
 std::optional<boost::json::value> parse_object(std::string_view text, std::size_t limit,
                                                findings& found);
 
+// Replaces each element of the arrays in the top-level object that cannot be parsed by itself, as
+// one with excessive nesting or numbers, with null, so that it does not make the others unreadable.
+std::string replace_invalid_elements(std::string_view text);
+
 class json_reader
 {
 public:
--- a/tests/foreign_entry_test.cpp
+++ b/tests/foreign_entry_test.cpp
@@ -80,6 +80,21 @@
     return others && listing.entries.size() == 2 && problems.size() == 1;
 }
 
+std::string host_list_with(std::string const& entry)
+{
+    return R"({"version":4,"hosts":[{"kind":"upstream","id":1,"zone":1,"state":"live",)"
+           R"("packet":"","peer":"","grpc":""},)" +
+           entry +
+           R"(,{"kind":"entry","id":3,"zone":1,"state":"live","packet":"10.0.0.3:1",)"
+           R"("peer":"10.0.0.3:2","grpc":"10.0.0.3:3"}]})";
+}
+
+std::string listed_host_with(std::string const& member)
+{
+    return R"({"kind":"upstream","id":2,"zone":1,"state":"live","packet":"","peer":"","grpc":"",)" +
+           member + "}";
+}
+
 } // namespace
 
 // Guards against a stack overflow in the parser, and against a document that is refused as a whole.
@@ -266,4 +281,53 @@
     CHECK(other.version().digest == view.version().digest);
 }
 
+// Guards against a daemon that stops following the host list because of one entry.
+TEST_CASE("invalid entries of the host list are skipped", "[foreign]")
+{
+    std::vector<std::string> entries{"7",
+                                     "null",
+                                     "[]",
+                                     "\"text ] } [ { , \\\" \\\\\"",
+                                     nested_arrays(),
+                                     nested_objects(),
+                                     listed_host_with("\"unknown\":1"),
+                                     listed_host_with("\"unknown\":" + nested_arrays()),
+                                     listed_host_with("\"state\":\"resting\""),
+                                     listed_host_with("\"packet\":\"10.0.0.2:65536\""),
+                                     listed_host_with("\"grpc\":\"10.0.0.2:-1\""),
+                                     listed_host_with("\"zone\":256")};
+    for (std::string const& number : excessive_numbers())
+    {
+        entries.push_back(number);
+        entries.push_back(listed_host_with("\"id\":" + number));
+        entries.push_back(listed_host_with("\"zone\":" + number));
+    }
+    for (std::string const& entry : entries)
+    {
+        INFO(entry.substr(0, 120));
+        findings problems;
+        findings skipped;
+        auto const list = value_or_findings(
+            [&] { return decode_host_list(host_list_with(entry), skipped); }, problems);
+        REQUIRE(list);
+        CHECK(problems.empty());
+        CHECK_FALSE(skipped.empty());
+        CHECK(list->version == 4);
+        REQUIRE(list->hosts.size() == 2);
+        CHECK(list->hosts[0].id == 1);
+        CHECK(list->hosts[1].id == 3);
+    }
+    findings problems;
+    findings skipped;
+    for (char const* const invalid : {"", "[", "{\"version\":4,\"hosts\":[", "{\"version\":4}",
+                                      "{\"version\":-1,\"hosts\":[]}", "[[1,2]]"})
+        CHECK_FALSE(
+            value_or_findings([&] { return decode_host_list(invalid, skipped); }, problems));
+    auto const empty = value_or_findings(
+        [&] { return decode_host_list("{\"version\":4,\"hosts\":[ ]}", skipped); }, problems);
+    REQUIRE(empty);
+    CHECK(empty->hosts.empty());
+    CHECK(skipped.empty());
+}
+
 } // namespace chivelever
