Treat an index of the store that is no number of 64 bits as no answer

Cause: the conversion of ModifyIndex threw an exception, which left the loop that watches the store or polls the host list. The loop was started again and met the same value, so that the daemon stopped following the store, with an error line every 0.2 s.

Change: the conversion reports an error, and the call counts as unanswered, with its backoff.

Evidence: "a store index that is no number of 64 bits counts as no answer" failed before with the exception in 7 of 8 cases and passes now.

--- a/tests/foreign_entry_test.cpp
+++ b/tests/foreign_entry_test.cpp
@@ -6,9 +6,14 @@
 #include "transport/transport.hpp"
 
 #include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/json.hpp>
 #include <catch2/catch.hpp>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace chivelever
@@ -80,6 +85,37 @@
     return others && listing.entries.size() == 2 && problems.size() == 1;
 }
 
+// A TCP server that sends one response.
+class single_response_server
+{
+public:
+    explicit single_response_server(std::string body)
+        : acceptor_(io_, {boost::asio::ip::address_v4::loopback(), 0}),
+          thread_([this, text = std::move(body)] { serve(text); })
+    {
+    }
+    ~single_response_server() { thread_.join(); }
+    single_response_server(single_response_server const&) = delete;
+    single_response_server& operator=(single_response_server const&) = delete;
+
+    endpoint address() const { return {0x7F000001, acceptor_.local_endpoint().port()}; }
+
+private:
+    void serve(std::string const& body)
+    {
+        boost::asio::ip::tcp::socket socket = acceptor_.accept();
+        std::string request;
+        boost::asio::read_until(socket, boost::asio::dynamic_buffer(request), "\r\n\r\n");
+        boost::asio::write(socket,
+                           boost::asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " +
+                                               std::to_string(body.size()) + "\r\n\r\n" + body));
+    }
+
+    boost::asio::io_context io_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    std::thread thread_;
+};
+
 std::string host_list_with(std::string const& entry)
 {
     return R"({"version":4,"hosts":[{"kind":"upstream","id":1,"zone":1,"state":"live",)"
@@ -330,4 +366,21 @@
     CHECK(skipped.empty());
 }
 
+// Guards against an exception that ends the loop which follows the store.
+TEST_CASE("a store index that is no number of 64 bits counts as no answer", "[foreign]")
+{
+    std::vector<std::string> numbers = excessive_numbers();
+    std::erase(numbers, "18446744073709551615"); // the largest index
+    std::erase(numbers, "9223372036854775808");
+    numbers.insert(numbers.end(), {"-1", "1.5"});
+    for (std::string const& number : numbers)
+    {
+        INFO(number.substr(0, 30));
+        single_response_server const server("[{\"Value\":\"e30=\",\"ModifyIndex\":" + number +
+                                            "}]");
+        http_store store(server.address());
+        CHECK(store.get("hosts").status == store_status::unreachable);
+    }
+}
+
 } // namespace chivelever
--- a/transport/store_client.cpp
+++ b/transport/store_client.cpp
@@ -30,8 +30,10 @@
     auto const* const index = entry.if_contains("ModifyIndex");
     if (value == nullptr || !value->is_string() || index == nullptr || !index->is_number())
         return {store_status::unreachable, {}, 0};
-    return {store_status::done, from_base64(value->as_string()).value_or(std::string()),
-            index->to_number<std::uint64_t>()};
+    auto const modified = index->to_number<std::uint64_t>(error);
+    if (error)
+        return {store_status::unreachable, {}, 0};
+    return {store_status::done, from_base64(value->as_string()).value_or(std::string()), modified};
 }
 
 } // namespace
