Fuzz the decoders of chivelever-edge

Cause: the fuzz targets covered chiveleverd only; pages and entries of the store, views, heartbeats and settings of chivelever-edge had none.

--- a/bench/fuzz/main.cpp
+++ b/bench/fuzz/main.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t max_random_bytes = 1600; // slightly above the packet limit
 constexpr std::size_t max_input_bytes = 1 << 16;
 constexpr unsigned max_mutations = 6;
+constexpr std::size_t excessive_depth = 40; // more levels than any decoder of JSON accepts
 
 // Boundary numbers and special characters.
 constexpr std::string_view boundary_tokens[] = {
@@ -61,7 +62,7 @@
     {
         std::size_t const at = below(s.size() + 1);
         std::size_t const length = std::min(below(32), s.size() - at);
-        switch (below(7))
+        switch (below(8))
         {
         case 0:
             if (!s.empty())
@@ -85,6 +86,9 @@
             s = s.substr(0, at) + other.substr(std::min(other.size(), at));
             break;
         }
+        case 6:
+            s.insert(at, std::string(excessive_depth, '['));
+            break;
         default:
             s.resize(at);
         }
--- a/bench/fuzz/targets.cpp
+++ b/bench/fuzz/targets.cpp
@@ -11,18 +11,18 @@
 
 using namespace chivelever;
 
-namespace
-{
-
-std::string const secret = "0123456789abcdef";
-std::string const id_text = "0123456789abcdef0123456789abcdef";
-
 void require(bool holds, char const* what)
 {
     if (!holds)
         throw std::logic_error(what);
 }
 
+namespace
+{
+
+std::string const secret = "0123456789abcdef";
+std::string const id_text = "0123456789abcdef0123456789abcdef";
+
 flow_id sample_flow()
 {
     flow_id id;
@@ -315,7 +315,7 @@
         {{listed_kind::entry, 3, {1}, host_state::live, {1, 2}, {3, 4}, {5, 6}},
          {listed_kind::upstream, 9, {2}, host_state::leaving, {}, {}, {}}}};
     event const e{5 << 16, {4}, "lease.granted", "pool/desk@akl", "x"};
-    return {
+    std::vector<target> targets{
         {"packet", packet_samples(), run_packet},
         {"peer", {peer.encode({3}, sample_heartbeat), peer.encode({3}, sample_handover)}, run_peer},
         {"peer-signed", {std::string(64, 'x')}, run_peer_signed},
@@ -331,6 +331,9 @@
          [](std::string const& s) { return run_json([&] { return decode_event(s); }); }},
         {"api", api_samples(), run_api},
     };
+    for (target& t : edge_targets())
+        targets.push_back(std::move(t));
+    return targets;
 }
 
 } // namespace fuzz
--- a/bench/fuzz/targets.hpp
+++ b/bench/fuzz/targets.hpp
@@ -18,6 +18,10 @@
 };
 
 std::vector<target> all_targets();
+std::vector<target> edge_targets(); // part of all_targets()
+
+// Throws std::logic_error if a property of a decoder does not hold.
+void require(bool holds, char const* what);
 
 } // namespace fuzz
 
