--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -6,6 +6,7 @@
 import base64
 import json
 import random
+import re
 import struct
 import time
 import zlib
@@ -90,6 +91,8 @@
     busy (503), many (429), reset, silent, slow (a delay), twice (a second copy of each answer, at once or late),
     crossed (the listing of another prefix) or garbage (bytes that are no answer)."""
 
+    PAGE_ITEMS = 4  # few, so that a page may end at any entry
+
     def __init__(self):
         self.items = {}
         self.revision = 1
@@ -132,7 +135,8 @@
             lines = head.split("\r\n")
             headers = {k.strip().lower(): v.strip() for k, v in (x.split(":", 1) for x in lines[1:] if ":" in x)}
             body = await reader.readexactly(int(headers.get("content-length", 0)))
-            method, target, _ = lines[0].split(" ")
+            request = re.fullmatch(r"(\S+) (\S+) HTTP/1\.1", lines[0])
+            method, target = request.groups() if request else ("", "")
             self.calls += 1
             mode, delay = self.mode.get(ip, self.mode.get("all", ("ok", 0.0)))
             await asyncio.sleep(0.002 + delay)
@@ -141,7 +145,9 @@
             if mode == "reset":
                 writer.transport.abort()
                 return
-            if mode in ("busy", "many"):
+            if not request:
+                status, answer = 400, {"error": "invalid request line"}
+            elif mode in ("busy", "many"):
                 status, answer = (503 if mode == "busy" else 429), {"error": mode}
             else:
                 if mode == "crossed":
@@ -172,7 +178,7 @@
         self.expire_leases()
         if url.path == "/-/kv-range":
             keys = sorted(k for k in self.items if k.startswith(query["prefix"]) and k > query.get("after", ""))
-            page = keys[:10]
+            page = keys[:self.PAGE_ITEMS]
             return 200, {"items": [self.item_json(k, self.items[k]) for k in page], "hasMore": len(keys) > len(page),
                          "asOf": self.revision}
         if url.path == "/-/kv-lease" and method == "POST":
