Name the member that makes an entry of an upstream unusable

Cause: store.finding said "invalid upstream entry" whatever was wrong, so that an operator had to decode the entry by hand.

Change: a reader collects a finding for each invalid member, with its name and the range. Which entries are skipped does not change.

--- a/bench/fuzz/edge_targets.cpp
+++ b/bench/fuzz/edge_targets.cpp
@@ -83,7 +83,8 @@
                                                      {"servers/i-2", input, 5},
                                                      {"servers/i-3", sample_entry, 6}},
                                                     8, problems);
-    require(listing.entries.size() + problems.size() == 3, "an entry is skipped without a finding");
+    require((listing.entries.size() == 3) == problems.empty(),
+            "an entry is skipped without a finding, or used with one");
     deployment_view view;
     std::vector<view_change> changes;
     require(view.apply(sample_operators(), listing, now, now, changes), "a listing is refused");
