Log one finding for an entry of the host list that is not an object

Cause: such an entry was reported with each of its missing members, six lines an entry, in a run of nine daemons on a list with three odd entries.

Change: one finding says that the entry cannot be read as an object.

--- a/protocol/config_json.cpp
+++ b/protocol/config_json.cpp
@@ -267,6 +267,28 @@
     return h;
 }
 
+// Skips invalid entries and adds findings for them.
+std::vector<listed_host> read_valid_hosts(json_reader& r, findings& skipped)
+{
+    std::vector<listed_host> hosts;
+    std::size_t n = 0;
+    for (json::value const& v : r.array("hosts", max_items))
+    {
+        std::string const location = "host " + std::to_string(++n);
+        if (!v.is_object())
+        {
+            skipped.push_back({"", location, "", 0, "cannot be read as an object"});
+            continue;
+        }
+        findings found;
+        listed_host const host = read_listed(v, location, found);
+        if (found.empty())
+            hosts.push_back(host);
+        skipped.insert(skipped.end(), found.begin(), found.end());
+    }
+    return hosts;
+}
+
 std::string to_text_or_empty(endpoint const& e)
 {
     return e.is_set() ? to_string(e) : std::string();
@@ -448,16 +470,7 @@
                   {
                       host_list l;
                       l.version = r.integer<std::uint64_t>("version", max_json_integer);
-                      std::size_t n = 0;
-                      for (json::value const& v : r.array("hosts", max_items))
-                      {
-                          findings found;
-                          listed_host const host =
-                              read_listed(v, "host " + std::to_string(++n), found);
-                          if (found.empty())
-                              l.hosts.push_back(host);
-                          skipped.insert(skipped.end(), found.begin(), found.end());
-                      }
+                      l.hosts = read_valid_hosts(r, skipped);
                       return l;
                   });
 }
