Share the sample values of the store between tests and fuzz targets

Cause: the fuzz targets held copies of the platform's formats, which belong to platform/ and to tests.

Change: tests/platform_samples.hpp has them, and the tests of foreign entries use the same entry.

--- a/bench/fuzz/edge_targets.cpp
+++ b/bench/fuzz/edge_targets.cpp
@@ -2,6 +2,7 @@
 // What one host accepts must be accepted by the others to which it passes it on.
 #include "bench/fuzz/targets.hpp"
 #include "platform/platform.hpp"
+#include "tests/platform_samples.hpp"
 #include "transport/transport.hpp"
 
 namespace fuzz
@@ -14,20 +15,6 @@
 
 constexpr time_point now{std::chrono::hours(1)};
 
-std::string const sample_entry =
-    R"({"service":"desk","address":"10.128.0.9:8080","zone":"akl","version":"v1",)"
-    R"("maxConcurrency":2,"state":"ready","warmupLeftMs":250,"sequence":4,"born":1700000000123})";
-
-std::string const sample_edge_config =
-    R"({"version":7,"routes":[{"host":"198.18.0.1","prefix":"/8080/","timeoutMs":2500,)"
-    R"("targetLatencyMs":150,"priority":1,"service":"desk"},{"host":"198.18.0.1",)"
-    R"("prefix":"/8443/","backends":[{"service":"desk","weight":90}]}],"services":)"
-    R"([{"name":"desk","warmupS":2.0,"warmupPerS":4.5}],"limits":{"idleTimeoutMs":15000}})";
-
-std::string const sample_page =
-    R"({"items":[{"key":"servers/i-1","value":"e30=","revision":3},{"key":"servers/i-2",)"
-    R"("value":"e30=","revision":4}],"hasMore":true,"asOf":9})";
-
 std::string const sample_edge_settings = R"([host]
 name = edge-akl-1
 zone = akl
@@ -46,13 +33,13 @@
 operator_listing sample_operators()
 {
     findings none;
-    return platform::decode_operators({{"op/config", sample_edge_config, 3}}, 8, none);
+    return platform::decode_operators({{"op/config", sample::edge_config, 3}}, 8, none);
 }
 
 upstream_listing sample_upstreams()
 {
     findings none;
-    return platform::decode_upstreams({{"servers/i-1", sample_entry, 4}}, 8, none);
+    return platform::decode_upstreams({{"servers/i-1", sample::upstream_entry, 4}}, 8, none);
 }
 
 // Another host must accept the view of this one.
@@ -79,9 +66,9 @@
 bool run_upstream_entry(std::string const& input)
 {
     findings problems;
-    auto const listing = platform::decode_upstreams({{"servers/i-1", sample_entry, 4},
+    auto const listing = platform::decode_upstreams({{"servers/i-1", sample::upstream_entry, 4},
                                                      {"servers/i-2", input, 5},
-                                                     {"servers/i-3", sample_entry, 6}},
+                                                     {"servers/i-3", sample::upstream_entry, 6}},
                                                     8, problems);
     require((listing.entries.size() == 3) == problems.empty(),
             "an entry is skipped without a finding, or used with one");
@@ -176,9 +163,9 @@
     changes.config_base = 7;
     changes.removed = {"i-1"};
     return {
-        {"store-page", {sample_page}, run_page},
-        {"upstream-entry", {sample_entry}, run_upstream_entry},
-        {"edge-config", {sample_edge_config}, run_edge_config},
+        {"store-page", {sample::store_page}, run_page},
+        {"upstream-entry", {sample::upstream_entry}, run_upstream_entry},
+        {"edge-config", {sample::edge_config}, run_edge_config},
         {"edge-view", {encode_view(complete), encode_view(changes)}, run_view},
         {"edge-heartbeat", {encode_heartbeat(sample_heartbeat())}, run_heartbeat},
         {"edge-settings", {sample_edge_settings}, run_edge_settings},
--- a/tests/foreign_entry_test.cpp
+++ b/tests/foreign_entry_test.cpp
@@ -3,6 +3,7 @@
 // chiveleverd. Such an entry must affect neither the others nor the process.
 #include "platform/platform.hpp"
 #include "tests/edge_fixture.hpp"
+#include "tests/platform_samples.hpp"
 #include "transport/transport.hpp"
 
 #include <array>
@@ -60,9 +61,7 @@
 // A valid entry in which `member` replaces the member of the same name.
 std::string entry_with(std::string const& member)
 {
-    return R"({"service":"desk","address":"10.128.0.9:8080","zone":"akl","maxConcurrency":2,)"
-           R"("state":"ready","warmupLeftMs":250,"sequence":4,"born":1700000000123,)" +
-           member + "}";
+    return sample::upstream_entry.substr(0, sample::upstream_entry.size() - 1) + "," + member + "}";
 }
 
 // Reads the value as one of three entries. Returns whether it was skipped and the others were not.
