Log an answer of the store that holds no valid entry

Cause: since an index that is no number of 64 bits counts as no answer, and the line task.failed that the exception gave is gone; other answers without a valid entry were never logged. The poll of the host list says nothing of a failed call.

Change: http_store logs store.invalid_response with the target and the size.

--- a/transport/store_client.cpp
+++ b/transport/store_client.cpp
@@ -3,6 +3,7 @@
 #include "state/state.hpp"
 #include "transport/http_client.hpp"
 #include "transport/http_status.hpp"
+#include "transport/log.hpp"
 
 #include <boost/json.hpp>
 #include <chrono>
@@ -48,7 +49,11 @@
         return {store_status::not_found, {}, 0};
     if (reply->status != http_ok)
         return {store_status::unreachable, {}, 0};
-    return parse_entry(reply->body);
+    store_value value = parse_entry(reply->body);
+    if (value.status == store_status::unreachable)
+        log::warning("store.invalid_response",
+                     {{"target", target}, {"bytes", std::to_string(reply->body.size())}});
+    return value;
 }
 
 store_value http_store::get(std::string const& key)
