Declare the interfaces of the admission library

Cause: parts for admission, fairness and recovery are built side by side and need agreed interfaces.

--- /dev/null
+++ b/admission/caller_share.hpp
@@ -0,0 +1,44 @@
+// Keeps a few callers from taking the room of all others while a service is short of capacity.
+#ifndef CHIVELEVER_ADMISSION_CALLER_SHARE_HPP
+#define CHIVELEVER_ADMISSION_CALLER_SHARE_HPP
+
+#include "state/state.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <unordered_map>
+
+namespace chivelever
+{
+
+// Counts the recent openings of each caller at this host, for one service and priority. The state
+// is bounded: beyond `max_callers`, callers are not tracked and are within their share.
+class caller_share
+{
+public:
+    static constexpr std::size_t max_callers = 1024;
+
+    // Records an opening and whether it was admitted.
+    void record(std::uint32_t caller, bool admitted, time_point now);
+    // Whether the caller has had less than its max-min fair share of the openings admitted here in
+    // the last second.
+    bool within_share(std::uint32_t caller, time_point now) const;
+    std::size_t tracked() const { return callers_.size(); }
+    // Removes callers without recent openings.
+    void expire(time_point now);
+
+private:
+    struct usage
+    {
+        double asked{};    // decayed count of openings
+        double admitted{}; // decayed count of admitted openings
+        time_point at{};
+    };
+    std::unordered_map<std::uint32_t, usage> callers_;
+    double fair_share_{}; // openings per caller, as of the latest update
+    time_point updated_at_{};
+};
+
+} // namespace chivelever
+
+#endif
--- /dev/null
+++ b/admission/capacity_admission.hpp
@@ -0,0 +1,132 @@
+// Admission of new flows by the room that the upstreams of a service have. Answers the load at
+// which more requests arrive than all slots can process: requests without room are refused at once,
+// the lowest priority first, before they reach an upstream, and room is shared by max-min fairness
+// among data centres and callers.
+//
+// Decides only; reads no clock and opens no socket.
+#ifndef CHIVELEVER_ADMISSION_CAPACITY_ADMISSION_HPP
+#define CHIVELEVER_ADMISSION_CAPACITY_ADMISSION_HPP
+
+#include "admission/caller_share.hpp"
+#include "state/state.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chivelever
+{
+
+struct admission_settings
+{
+    bool enabled{}; // false: capacity_admission applies to no service
+};
+
+// Upstreams of a service in one zone that this host can reach.
+struct zone_room
+{
+    std::string zone;
+    // Slots of the upstreams that take new flows; a recovering upstream counts in part.
+    double slots{};
+    double own_pending{}; // unanswered requests of this host at these upstreams
+    auto operator<=>(zone_room const&) const = default;
+};
+
+// What the hosts of one zone tell about their load on a service.
+struct zone_demand
+{
+    std::string zone;       // of the hosts
+    std::size_t hosts{};    // living hosts of the zone; includes this host in its own zone
+    double other_pending{}; // unanswered requests of these hosts, without this host's own
+    std::map<std::uint32_t, double> slots_by_priority; // busy slots that the arrivals would need
+    duration age{};                                    // of the oldest figure used
+    bool heard{};                                      // false: no report, or an expired one
+    auto operator<=>(zone_demand const&) const = default;
+};
+
+struct admission_query
+{
+    std::string const& service;
+    endpoint destination; // the route
+    std::uint32_t priority{};
+    duration objective{};
+    endpoint caller;
+    std::string const& own_zone;
+    std::span<zone_room const> rooms;
+    std::span<zone_demand const> demands; // one for each zone with hosts, the own one included
+};
+
+enum class admission_reason : std::uint8_t
+{
+    within_share,  // below this host's share of the capacity
+    zone_has_room, // above the share, but the hosts of the zone leave part of theirs unused
+    minimum_share, // admitted so that a low priority does not starve
+    no_room,
+    caller_over_share
+};
+std::string_view to_string(admission_reason r);
+
+struct admission_result
+{
+    bool admitted{true};
+    admission_reason reason{admission_reason::within_share};
+    double pending{}; // own unanswered requests of the service
+    double limit{};   // the limit that applied
+    duration age{};   // of the oldest report used
+    auto operator<=>(admission_result const&) const = default;
+};
+
+class capacity_admission
+{
+public:
+    explicit capacity_admission(admission_settings settings = {}) : settings_(settings) {}
+
+    // Whether the policy is enabled and the routes of the service that are in use have at least two
+    // priorities and one common latency objective. Other services keep to overload_control.
+    bool applies_to(std::string const& service) const;
+    // Records an opening, also of a service to which the policy does not apply.
+    void record_opening(std::string const& service, endpoint destination, std::uint32_t priority,
+                        duration objective, time_point now);
+    // A request started on an admitted flow.
+    void record_request(std::string const& service, std::uint32_t priority, time_point now);
+    // `had_free_slot`: the upstream had one when the request was placed, so that it did not wait.
+    void record_answer(std::string const& service, duration answer_time, bool had_free_slot);
+    admission_result admit(admission_query const& query, time_point now);
+    // Busy slots that the arrivals at this host need, by priority; reported to other hosts.
+    std::map<std::uint32_t, double> demand(std::string const& service, time_point now) const;
+    void expire(time_point now);
+
+private:
+    struct route_usage
+    {
+        double openings{}; // decayed count
+        time_point at{};
+        std::uint32_t priority{};
+        duration objective{};
+    };
+    struct arrival_rate
+    {
+        double per_second{};
+        time_point at{};
+    };
+    struct service_state
+    {
+        std::map<endpoint, route_usage> routes;
+        std::map<std::uint32_t, arrival_rate> arrivals;   // by priority
+        std::map<std::uint32_t, caller_share> callers;    // by priority
+        std::map<std::uint32_t, double> pending_estimate; // by priority
+        duration service_time{};                          // without waiting; zero if unknown
+        time_point last_used{};
+    };
+
+    admission_settings settings_;
+    std::map<std::string, service_state> services_;
+};
+
+} // namespace chivelever
+
+#endif
