--- a/admission/capacity_admission.hpp
+++ b/admission/capacity_admission.hpp
@@ -42,9 +42,10 @@
     std::string zone;       // of the hosts
     std::size_t hosts{};    // living hosts of the zone; includes this host in its own zone
     double other_pending{}; // unanswered requests of these hosts, without this host's own
-    std::map<std::uint32_t, double> slots_by_priority; // busy slots that the arrivals would need
-    duration age{};                                    // of the oldest figure used
-    bool heard{};                                      // false: no report, or an expired one
+    // Busy slots that the arrivals at these hosts would need; capacity_admission adds its own.
+    std::map<std::uint32_t, double> slots_by_priority;
+    duration age{}; // of the oldest figure used
+    bool heard{};   // false: no report, or an expired one
     auto operator<=>(zone_demand const&) const = default;
 };
 
