Add the loads of services to the heartbeat

Cause: hosts of other zones need to know how much of a service's capacity is in use before they send load there. Change: element service_loads at the end of the heartbeat; hosts of earlier versions ignore it and send none.

--- a/protocol/edge_codec.cpp
+++ b/protocol/edge_codec.cpp
@@ -153,6 +153,32 @@
     return o;
 }
 
+json::array encode_service_load(service_load const& l)
+{
+    json::array pending;
+    for (zone_pending const& z : l.pending)
+        pending.push_back(json::array{z.zone, z.pending_milli});
+    json::array demand;
+    for (priority_demand const& d : l.demand)
+        demand.push_back(json::array{d.priority, d.milli_slots});
+    return {l.service, l.hosts, l.age_ms, std::move(pending), std::move(demand)};
+}
+
+service_load decode_service_load(json::value const& v)
+{
+    auto const& row = v.as_array();
+    service_load l;
+    l.service = text(row.at(0));
+    l.hosts = number<std::uint32_t>(row.at(1));
+    l.age_ms = number<std::uint32_t>(row.at(2));
+    for (json::value const& z : row.at(3).as_array())
+        l.pending.push_back({text(z.as_array().at(0)), number<std::uint32_t>(z.as_array().at(1))});
+    for (json::value const& d : row.at(4).as_array())
+        l.demand.push_back(
+            {number<std::uint32_t>(d.as_array().at(0)), number<std::uint32_t>(d.as_array().at(1))});
+    return l;
+}
+
 json::value parse(std::string_view text)
 {
     return json::parse(json::string_view(text.data(), text.size()));
@@ -197,10 +223,13 @@
     json::array answers;
     for (observed_answer const& o : b.observed_answers)
         answers.push_back(json::array{o.upstream.value, o.age_ms});
-    return json::serialize(json::array{heartbeat_layout_version, encode_peer(b.sender), b.leaving,
-                                       b.as_of, b.digest, b.config_version, b.view_age_ms,
-                                       std::move(loads), std::move(suspects), std::move(hosts),
-                                       std::move(zones), std::move(answers), known_hosts});
+    json::array services;
+    for (service_load const& l : b.service_loads)
+        services.push_back(encode_service_load(l));
+    return json::serialize(json::array{
+        heartbeat_layout_version, encode_peer(b.sender), b.leaving, b.as_of, b.digest,
+        b.config_version, b.view_age_ms, std::move(loads), std::move(suspects), std::move(hosts),
+        std::move(zones), std::move(answers), known_hosts, std::move(services)});
 }
 
 std::optional<peer_heartbeat> decode_heartbeat(std::string_view bytes)
@@ -238,6 +267,9 @@
                                                   number<std::uint32_t>(o.as_array().at(1))});
             if (row.size() > 12 && !row.at(12).is_null())
                 b.known_hosts = number<std::uint32_t>(row.at(12));
+            if (row.size() > 13)
+                for (json::value const& l : row.at(13).as_array())
+                    b.service_loads.push_back(decode_service_load(l));
             return b;
         });
 }
--- a/state/peer_messages.hpp
+++ b/state/peer_messages.hpp
@@ -55,6 +55,34 @@
     auto operator<=>(observed_answer const&) const = default;
 };
 
+// Unanswered requests at the upstreams of one zone.
+struct zone_pending
+{
+    std::string zone;
+    std::uint32_t pending_milli{}; // in 1/1000
+    auto operator<=>(zone_pending const&) const = default;
+};
+
+// Slots that the arrivals of one priority would keep busy, refused ones included.
+struct priority_demand
+{
+    std::uint32_t priority{};
+    std::uint32_t milli_slots{}; // in 1/1000
+    auto operator<=>(priority_demand const&) const = default;
+};
+
+// Load on one service. In a heartbeat within a zone it is the sender's own; in one to another zone
+// it is the sum over the hosts of the sender's zone.
+struct service_load
+{
+    std::string service;
+    std::uint32_t hosts{1}; // that the figures cover
+    std::uint32_t age_ms{}; // of the oldest figure
+    std::vector<zone_pending> pending;
+    std::vector<priority_demand> demand;
+    auto operator<=>(service_load const&) const = default;
+};
+
 // Heartbeat, sent to other hosts several times a second and immediately after a read of the store.
 // Ages are relative to the time of sending.
 struct peer_heartbeat
@@ -72,6 +100,7 @@
     std::vector<observed_host> observed_hosts;     // a sample of the fleet
     std::vector<observed_zone> observed_zones;     // only between hosts of one zone
     std::vector<observed_answer> observed_answers; // only between hosts of one zone
+    std::vector<service_load> service_loads;       // of services with admission by capacity
     bool operator==(peer_heartbeat const&) const = default;
 };
 
