--- a/admission/caller_share.hpp
+++ b/admission/caller_share.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <unordered_map>
 
 namespace chivelever
@@ -28,15 +29,23 @@
     void expire(time_point now);
 
 private:
+    // Decayed counts of openings.
     struct usage
     {
-        double asked{};    // decayed count of openings
-        double admitted{}; // decayed count of admitted openings
+        double asked{};
+        double admitted{};
         time_point at{};
+        void decay(time_point now);
+        void add(bool was_admitted, time_point now);
     };
+    void update_fair_share(time_point now);
+
     std::unordered_map<std::uint32_t, usage> callers_;
-    double fair_share_{}; // openings per caller, as of the latest update
+    usage total_; // of all tracked callers
+    // Openings per caller and second, as of the latest update.
+    double fair_share_{std::numeric_limits<double>::infinity()};
     time_point updated_at_{};
+    time_point expired_at_{};
 };
 
 } // namespace chivelever
