Admit new flows by the capacity of a service

Cause: the stub admitted every flow. overload_control follows the median response time, which does not rise while upstreams reject. The division among priorities, zones and hosts is in capacity_share; its result and the routes in use are cached for 50 ms. A host that hears no one has a limit of at least 6 requests, so that it does not refuse at half load in a fleet of 300 hosts.

--- a/admission/admission.hpp
+++ b/admission/admission.hpp
@@ -5,6 +5,7 @@
 // IWYU pragma: begin_exports
 #include "admission/caller_share.hpp"
 #include "admission/capacity_admission.hpp"
+#include "admission/capacity_share.hpp"
 #include "admission/max_min_share.hpp"
 // IWYU pragma: end_exports
 
--- a/admission/capacity_admission.hpp
+++ b/admission/capacity_admission.hpp
@@ -8,6 +8,7 @@
 #define CHIVELEVER_ADMISSION_CAPACITY_ADMISSION_HPP
 
 #include "admission/caller_share.hpp"
+#include "admission/capacity_share.hpp"
 #include "state/state.hpp"
 
 #include <cstddef>
@@ -26,29 +27,6 @@
     bool enabled{}; // false: capacity_admission applies to no service
 };
 
-// Upstreams of a service in one zone that this host can reach.
-struct zone_room
-{
-    std::string zone;
-    // Slots of the upstreams that take new flows; a recovering upstream counts in part.
-    double slots{};
-    double own_pending{}; // unanswered requests of this host at these upstreams
-    auto operator<=>(zone_room const&) const = default;
-};
-
-// What the hosts of one zone tell about their load on a service.
-struct zone_demand
-{
-    std::string zone;       // of the hosts
-    std::size_t hosts{};    // living hosts of the zone; includes this host in its own zone
-    double other_pending{}; // unanswered requests of these hosts, without this host's own
-    // Busy slots that the arrivals at these hosts would need; capacity_admission adds its own.
-    std::map<std::uint32_t, double> slots_by_priority;
-    duration age{}; // of the oldest figure used
-    bool heard{};   // false: no report, or an expired one
-    auto operator<=>(zone_demand const&) const = default;
-};
-
 struct admission_query
 {
     std::string const& service;
@@ -102,27 +80,50 @@
     void expire(time_point now);
 
 private:
-    struct route_usage
+    // Number of events, decaying exponentially with time.
+    struct decayed_count
     {
-        double openings{}; // decayed count
+        double value{};
         time_point at{};
+        double read(time_point now, duration time_constant) const;
+        void add(time_point now, duration time_constant);
+    };
+    struct route_usage
+    {
+        decayed_count openings;
         std::uint32_t priority{};
         duration objective{};
     };
-    struct arrival_rate
+    struct priority_load
     {
-        double per_second{};
-        time_point at{};
+        std::uint32_t priority{};
+        decayed_count started; // requests
+        decayed_count refused; // openings
+        // Requests and admitted openings. Divides the pending requests among the priorities, for
+        // which answers are not counted separately.
+        decayed_count placed;
+        caller_share callers;
     };
     struct service_state
     {
         std::map<endpoint, route_usage> routes;
-        std::map<std::uint32_t, arrival_rate> arrivals;   // by priority
-        std::map<std::uint32_t, caller_share> callers;    // by priority
-        std::map<std::uint32_t, double> pending_estimate; // by priority
-        duration service_time{};                          // without waiting; zero if unknown
+        time_point routes_evaluated_at{};
+        bool applies{};
+        std::uint32_t lowest_priority{}; // of the routes in use
+        duration objective{};
+        std::vector<priority_load> loads; // at most max_priorities, in ascending order
+        double service_time_s{};          // without waiting
+        std::uint32_t answers{};          // counted up to the length of the mean
+        capacity_share share;             // cached
+        time_point share_at{};
         time_point last_used{};
     };
+    static void evaluate_routes(service_state& s, time_point now);
+    static priority_load& load_of(service_state& s, std::uint32_t priority);
+    static double service_time_s(service_state const& s);
+    static std::map<std::uint32_t, double> demand(service_state const& s, time_point now);
+    static void decide(service_state& s, priority_load const& load, admission_query const& query,
+                       time_point now, admission_result& result);
 
     admission_settings settings_;
     std::map<std::string, service_state> services_;
--- a/tests/admission_capacity_test.cpp
+++ b/tests/admission_capacity_test.cpp
@@ -14,6 +14,49 @@
 using namespace std::chrono_literals;
 
 constexpr time_point start{std::chrono::hours(1)};
+constexpr duration objective = 300ms;
+std::string const desk = "desk";
+std::string const own_zone = "akl";
+constexpr std::uint32_t offers = 1;
+constexpr std::uint32_t checks = 2;
+
+// One host in a zone of ten hosts, in one of three zones with 40 slots each. Its share is 4 slots;
+// with the service time of 30 ms, its limit is 12 requests.
+struct admitting_host
+{
+    capacity_admission control{admission_settings{true}};
+    time_point now{start};
+    std::vector<zone_room> rooms{{"akl", 40, 0}, {"wlg", 40, 0}, {"chc", 40, 0}};
+    std::vector<zone_demand> demands{{"akl", 10, 200, {{checks, 500}}, 400ms, true},
+                                     {"wlg", 10, 200, {{checks, 500}}, 300ms, true},
+                                     {"chc", 10, 200, {{checks, 500}}, 500ms, true}};
+
+    admitting_host()
+    {
+        open(100, checks);
+        open(100, offers);
+        for (int i = 0; i < 20; ++i)
+            control.record_answer(desk, 30ms, true);
+    }
+    void open(int count, std::uint32_t priority, std::uint16_t port = 443,
+              duration route_objective = objective)
+    {
+        now += 60ms;
+        endpoint const route{1, static_cast<std::uint16_t>(port + priority)};
+        for (int i = 0; i < count; ++i)
+            control.record_opening(desk, route, priority, route_objective, now);
+        now += 60ms;
+        control.record_opening(desk, route, priority, route_objective, now);
+    }
+    admission_result admit(double pending, std::uint32_t priority = checks,
+                           std::uint32_t caller = 1)
+    {
+        now += 60ms;
+        rooms.front().own_pending = pending;
+        return control.admit({desk, {}, priority, objective, {caller, 1}, own_zone, rooms, demands},
+                             now);
+    }
+};
 
 } // namespace
 
@@ -105,4 +148,132 @@
     CHECK(callers.tracked() == 0);
 }
 
+// Guards against applying the policy where priorities or objectives make it meaningless, and
+// against a decision that changes while a service has few openings.
+TEST_CASE("the policy applies to services with two priorities and one objective",
+          "[admission][capacity]")
+{
+    admitting_host host;
+    CHECK(host.control.applies_to(desk));
+    CHECK_FALSE(host.control.applies_to("other"));
+    host.open(3, 0, 8000, 1s); // below 2% of the openings
+    CHECK(host.control.applies_to(desk));
+    host.open(50, 0, 8000, 1s);
+    CHECK_FALSE(host.control.applies_to(desk));
+    host.now += 20s;
+    host.open(40, checks);
+    CHECK_FALSE(host.control.applies_to(desk));
+    host.open(100, checks);
+    host.open(100, offers);
+    CHECK(host.control.applies_to(desk));
+    host.now += 30s;
+    host.control.expire(host.now);
+    host.open(40, checks);
+    CHECK(host.control.applies_to(desk));
+    host.open(5000, checks);
+    CHECK_FALSE(host.control.applies_to(desk)); // a single priority in use
+    CHECK_FALSE(capacity_admission{}.applies_to(desk));
+}
+
+// Guards against queues longer than the objective allows, against the lowest priority using the
+// headroom of the others, and against a priority that starves.
+TEST_CASE("the limit follows share, depth and priority", "[admission][capacity]")
+{
+    admitting_host host;
+    CHECK(host.admit(12.5).reason == admission_reason::minimum_share); // no check is pending yet
+    admission_result const below = host.admit(11.9);
+    CHECK(below.reason == admission_reason::within_share);
+    CHECK(below.pending == 11.9);
+    CHECK(below.limit == Approx(12));
+    CHECK(below.age == 500ms);
+    CHECK(host.admit(12.5).reason == admission_reason::no_room);
+    CHECK(host.admit(23.9, offers).reason == admission_reason::within_share);
+    host.now += 5s;
+    for (int i = 0; i < 20; ++i)
+        host.control.record_request(desk, offers, host.now);
+    CHECK_FALSE(host.admit(24.5, offers).admitted);
+    CHECK(host.admit(12.5).reason == admission_reason::minimum_share);
+    host.now += 5s;
+    // A service time of 90 ms leaves time for the minimum depth only.
+    for (int i = 0; i < 1000; ++i)
+        host.control.record_answer(desk, 90ms, true);
+    CHECK(host.admit(0).limit == Approx(6));
+}
+
+// Guards against refusals while other hosts of the zone leave their capacity unused, and against
+// using it on no or on old figures.
+TEST_CASE("a host uses capacity that its zone leaves unused", "[admission][capacity]")
+{
+    admitting_host host;
+    for (int i = 0; i < 20; ++i)
+        host.control.record_request(desk, checks, host.now);
+    host.demands.front().other_pending = 80; // of 120, of which 96 may be used
+    CHECK(host.admit(15.9).reason == admission_reason::zone_has_room);
+    CHECK_FALSE(host.admit(16.1).admitted);
+    host.demands.front().other_pending = 10;
+    CHECK(host.admit(23.9).reason == admission_reason::zone_has_room);
+    CHECK_FALSE(host.admit(24).admitted);
+    host.demands.front().heard = false;
+    CHECK_FALSE(host.admit(15.9).admitted);
+    host.demands = {{"akl", 10, 0, {}, {}, false}};
+    CHECK(host.admit(0).limit == Approx(36)); // the capacity that it can reach
+    host.rooms = {{"akl", 0, 0}};
+    CHECK(host.admit(1000).admitted); // nothing to decide
+    host.rooms = {{"akl", 0.5, 0}};
+    host.demands = {{"akl", 10, 100, {}, {}, true}};
+    CHECK(host.admit(0).admitted);
+    CHECK_FALSE(host.admit(1).admitted);
+}
+
+// Guards against zones that take the capacity of others with a larger demand of a lower priority,
+// and against zones without a report that lose their share or take that of others.
+TEST_CASE("capacity goes to the higher priority first and to zones fairly", "[admission][capacity]")
+{
+    std::vector<zone_room> const rooms{{"akl", 120, 0}};
+    auto const zone_share = [&](std::vector<zone_demand> const& demands) {
+        return share_capacity(rooms, demands, own_zone, {{checks, 2}}).zone;
+    };
+    zone_demand const akl{"akl", 10, 0, {{offers, 20}, {checks, 38}}, {}, true};
+    CHECK(zone_share({akl, {"wlg", 10, 0, {{offers, 50}}, {}, true}}) == Approx(65));
+    CHECK(zone_share({akl, {"wlg", 10, 0, {{checks, 500}}, {}, true}}) == Approx(60));
+    CHECK(zone_share({akl, {"wlg", 10, 0, {{offers, 90}, {checks, 9}}, {}, true}}) ==
+          Approx(20 + 5));
+    CHECK(zone_share({akl, {"wlg", 10, 0, {{offers, 500}}, {}, false}}) == Approx(60));
+    CHECK(zone_share({akl, {"wlg", 0, 0, {{offers, 500}}, {}, true}}) == Approx(120));
+    CHECK(zone_share({{"akl", 10, 0, {}, {}, false}, {"wlg", 10, 0, {}, {}, true}}) == Approx(60));
+}
+
+// Guards against demand and refusals that outlive a suspension of the host or the use of a service.
+TEST_CASE("figures from before a suspension expire", "[admission][capacity]")
+{
+    admitting_host host;
+    for (int i = 0; i < 100; ++i)
+        host.control.record_request(desk, checks, host.now);
+    CHECK(host.control.demand(desk, host.now).at(checks) == Approx(100 / 0.5 * 0.03));
+    for (int i = 0; i < 100; ++i)
+        host.admit(100);
+    CHECK(host.control.demand(desk, host.now).at(checks) > 0.1);
+    host.now += 10s;
+    CHECK(host.control.demand(desk, host.now).at(checks) < 1e-6);
+    CHECK(host.admit(11).admitted);
+    host.control.expire(host.now + 2h);
+    CHECK(host.control.demand(desk, host.now).empty());
+    CHECK_FALSE(host.control.applies_to(desk));
+}
+
+// Guards against one caller that uses a host's limit while others are refused.
+TEST_CASE("callers over their share are refused first", "[admission][capacity]")
+{
+    admitting_host host;
+    for (std::uint32_t n = 0; n < 60; ++n)
+    {
+        host.now -= 55ms;
+        host.admit(n % 2 == 0 ? 9 : 12, checks, n % 3 != 0 ? 1 : n);
+        host.control.record_request(desk, checks, host.now);
+    }
+    CHECK(host.admit(9, checks, 1).reason == admission_reason::caller_over_share);
+    CHECK(host.admit(9, checks, 500).reason == admission_reason::within_share);
+    CHECK(host.admit(8, checks, 1).reason == admission_reason::within_share);
+}
+
 } // namespace chivelever
