Include cold starts in the digest of a view

Cause: content_hash left out whether an upstream is cold. A view that announced a cold start had the digest of the view before it, so that other hosts took it for a confirmation: confirm() advanced as_of past the entry, and no later difference contained it. Change: the digest contains the revision of an entry that announces a cold start. The remaining time does not enter it, since hosts read it at different times. changes_since keeps an entry marked as cold after its time has passed, so that a host that fetches it late has the same digest.

--- a/coordination/deployment_view.cpp
+++ b/coordination/deployment_view.cpp
@@ -29,11 +29,15 @@
 // gets the complete configuration.
 constexpr std::size_t max_config_steps = 48;
 
+// The remaining cold time differs from host to host, so a cold entry is identified by the revision
+// that announced it. It stays the same until another revision is read.
 std::uint64_t content_hash(upstream_entry const& e)
 {
     std::uint64_t h = hash_bytes(e.name, static_cast<std::uint64_t>(e.started_unix_ms));
     h = hash_pair(h, hash_bytes(e.service));
     h = hash_pair(h, hash_bytes(e.zone));
+    if (e.cold_left_ms > 0)
+        h = hash_pair(h, e.revision);
     return hash_pair(h, e.address.packed() << 8 | (e.slots & 0x7FU) << 1 | (e.draining ? 1U : 0U));
 }
 
@@ -406,9 +410,12 @@
         if (!out.complete && known.entry.revision < as_of)
             continue;
         out.upstreams.entries.push_back(known.entry);
-        duration const left = std::max(duration{}, known.cold_until - now);
-        out.upstreams.entries.back().cold_left_ms =
-            static_cast<std::uint32_t>(left / std::chrono::milliseconds(1));
+        // At least 1 ms: an entry that announced a cold start stays marked after it, so that the
+        // digests of sender and receiver are equal.
+        std::int64_t const left_ms = (known.cold_until - now) / std::chrono::milliseconds(1);
+        if (known.entry.cold_left_ms > 0)
+            out.upstreams.entries.back().cold_left_ms =
+                static_cast<std::uint32_t>(std::max<std::int64_t>(1, left_ms));
     }
     return out;
 }
--- a/tests/deployment_view_test.cpp
+++ b/tests/deployment_view_test.cpp
@@ -173,6 +173,49 @@
     CHECK(u->cold_until > now + 500ms);
 }
 
+// Guards against a host that takes a view with a cold upstream for the one it has: confirm() then
+// advances as_of past the entry, no difference contains it again, and the upstream counts as warm.
+TEST_CASE("a cold start changes the digest of the view", "[edge][view][cold]")
+{
+    deployment_view reader;
+    deployment_view other;
+    std::vector<view_change> changes;
+    time_point now = edge_start;
+    upstream_entry e = make_upstream(1);
+    reader.apply(make_operators(30, 1), {30, {e}}, now, now, changes);
+    other.apply(reader.changes_since(0, 0, now), now, changes);
+    std::uint64_t const warm = reader.version().digest;
+    REQUIRE(other.version().digest == warm);
+
+    e.cold_left_ms = 2000;
+    e.revision = 33;
+    now += 800ms;
+    reader.apply(make_operators(33, 1), {33, {e}}, now, now, changes);
+    std::uint64_t const cold = reader.version().digest;
+    CHECK(cold != warm);
+    other.apply(reader.changes_since(30, 1, now + 300ms), now + 300ms, changes);
+    CHECK(other.version().digest == cold);
+
+    // The digest does not change with time, and a host that reads or fetches the view after the end
+    // of the cold start has the same one.
+    deployment_view late;
+    deployment_view late_reader;
+    late.apply(reader.changes_since(0, 0, now + 5s), now + 5s, changes);
+    late_reader.apply(make_operators(34, 1), {34, {e}}, now + 5s, now + 5s, changes);
+    CHECK(late.version().digest == cold);
+    CHECK(late_reader.version().digest == cold);
+    CHECK(late.find(make_flow_token(e.name))->cold_until < now + 5100ms);
+
+    // Another cold start without a restart is a change as well, and so is its end.
+    e.revision = 50;
+    reader.apply(make_operators(50, 1), {50, {e}}, now + 6s, now + 6s, changes);
+    CHECK(reader.version().digest != cold);
+    e.revision = 55;
+    e.cold_left_ms = 0;
+    reader.apply(make_operators(55, 1), {55, {e}}, now + 9s, now + 9s, changes);
+    CHECK(reader.version().digest == warm);
+}
+
 // Guards against sending complete views at each change, and against differences that lose an
 // upstream, a removal or a configuration.
 TEST_CASE("applying a view difference gives the same view", "[edge][view]")
