Send the cold time of an upstream as of the reading

Cause: changes_since gave the cold time that was left when the view was sent, and apply() counts it from the time of the reading. Change: the cold time in a view is relative to its reading, like view_age_ms.

--- a/coordination/deployment_view.cpp
+++ b/coordination/deployment_view.cpp
@@ -410,9 +410,11 @@
         if (!out.complete && known.entry.revision < as_of)
             continue;
         out.upstreams.entries.push_back(known.entry);
-        // At least 1 ms: an entry that announced a cold start stays marked after it, so that the
+        // As of the reading, like in an entry of the store: the receiver counts it from there. At
+        // least 1 ms: an entry that announced a cold start stays marked after it, so that the
         // digests of sender and receiver are equal.
-        std::int64_t const left_ms = (known.cold_until - now) / std::chrono::milliseconds(1);
+        std::int64_t const left_ms =
+            (known.cold_until - confirmed_at_) / std::chrono::milliseconds(1);
         if (known.entry.cold_left_ms > 0)
             out.upstreams.entries.back().cold_left_ms =
                 static_cast<std::uint32_t>(std::max<std::int64_t>(1, left_ms));
--- a/tests/deployment_view_test.cpp
+++ b/tests/deployment_view_test.cpp
@@ -216,6 +216,30 @@
     CHECK(reader.version().digest == warm);
 }
 
+// Guards against subtracting the age of a view from the cold time twice: during an outage of the
+// store, restarted hosts took cold upstreams for warm by the age of the view too early.
+TEST_CASE("a view of some age does not shorten a cold start", "[edge][view][cold]")
+{
+    deployment_view reader;
+    std::vector<view_change> changes;
+    upstream_entry e = make_upstream(1);
+    e.cold_left_ms = 10'000;
+    reader.apply(make_operators(30, 1), {30, {e}}, edge_start, edge_start, changes);
+    time_point const end = edge_start + 10s;
+    // The store is down: the view reaches a second host after 4 s, and a third one after 3 s more.
+    deployment_view second;
+    deployment_view third;
+    second.apply(reader.changes_since(0, 0, edge_start + 4s), edge_start + 4s, changes);
+    third.apply(second.changes_since(0, 0, edge_start + 7s), edge_start + 7s, changes);
+    for (deployment_view const* const v : {&reader, &second, &third})
+        CHECK(v->find(make_flow_token(e.name))->cold_until == end);
+    // The same after other hosts have confirmed the view.
+    third.confirm(31, edge_start + 8s, edge_start + 8s);
+    deployment_view fourth;
+    fourth.apply(third.changes_since(0, 0, edge_start + 9s), edge_start + 9s, changes);
+    CHECK(fourth.find(make_flow_token(e.name))->cold_until == end);
+}
+
 // Guards against sending complete views at each change, and against differences that lose an
 // upstream, a removal or a configuration.
 TEST_CASE("applying a view difference gives the same view", "[edge][view]")
