Treat an upstream that returns after failed probes as cold

Cause: an upstream counted as cold by its entry only. Change: upstream_health keeps the time at which an upstream that had failed its probes came back; placement treats it as cold for the cold time of its service. An answer on a flow that was opened before shows that it was not restarted, and so does an entry with the same start time, read when the upstream has had time to write it. Hosts of the upstream's zone report the return in their heartbeats (element 15; 14 is reserved for the era of the store), since a host that did not use the upstream meanwhile cannot notice it. Hosts of other zones do not report it: they may have been cut off from it.

--- a/coordination/deployment_view.cpp
+++ b/coordination/deployment_view.cpp
@@ -380,6 +380,11 @@
            now - u.missing_since > removal_timeout;
 }
 
+bool deployment_view::shows_restarts_since(time_point since, time_point now) const
+{
+    return now >= outage_recovery_until_ && confirmed_at_ - since >= outage_recovery_time;
+}
+
 duration deployment_view::idle_limit() const
 {
     return config_ ? config_->idle_limit : duration{};
--- a/coordination/deployment_view.hpp
+++ b/coordination/deployment_view.hpp
@@ -88,6 +88,9 @@
     // Whether the upstream has definitely terminated: another one uses its address, or it has been
     // missing for a long time while the store was readable.
     bool is_terminated(known_upstream const& u, time_point now) const;
+    // Whether the entries, and with them the start times of the upstreams, have been read at a time
+    // when an upstream that was restarted at `since` had written its entry again.
+    bool shows_restarts_since(time_point since, time_point now) const;
     duration idle_limit() const;
     std::size_t upstream_count() const { return by_token_.size(); }
 
--- a/coordination/edge_router.cpp
+++ b/coordination/edge_router.cpp
@@ -244,7 +244,7 @@
                                now);
     }
     if (d.seen.answered)
-        health_.record_answer(flow.upstream, now);
+        health_.record_answer(flow.upstream, now, flow.opened);
     else if (d.seen.retransmitted)
     {
         d.newly_suspected = health_.record_failure(flow.upstream, now);
--- a/coordination/placement.cpp
+++ b/coordination/placement.cpp
@@ -79,13 +79,27 @@
     return times.size() < cold_share(u, view, fleet);
 }
 
-double placement::cost(known_upstream const& u, bool long_flow, flow_table const& flows,
-                       upstream_health const& health, fleet_state const& fleet, bool reachable,
-                       time_point now) const
+bool placement::is_cold(known_upstream const& u, deployment_view const& view,
+                        upstream_health const& health, time_point now)
 {
-    upstream_load const own = flows.load(u.token);
-    upstream_load const others = fleet.peer_load(u.token);
-    double const mean = flows.mean_pending_requests(u.token, now) + others.mean_pending_requests;
+    if (now < u.cold_until)
+        return true;
+    time_point const returned = health.returned_at(u.token);
+    if (returned == time_point{})
+        return false;
+    service_entry const* const service = view.service(u.entry.service);
+    return service != nullptr && now < returned + service->cold_time &&
+           !view.shows_restarts_since(returned, now);
+}
+
+double placement::cost(known_upstream const& u, candidate_search const& search, bool cold,
+                       bool reachable, time_point now) const
+{
+    bool const long_flow = search.request.long_flow;
+    upstream_load const own = search.flows.load(u.token);
+    upstream_load const others = search.fleet.peer_load(u.token);
+    double const mean =
+        search.flows.mean_pending_requests(u.token, now) + others.mean_pending_requests;
     double const open_flows = own.flows + others.flows;
     // A single-request flow ends before the load changes, so current pending requests matter. A
     // long flow stays, so the mean load matters.
@@ -95,11 +109,11 @@
     double cost_sum = load / std::max<std::uint32_t>(1, u.entry.slots);
     if (u.entry.zone != settings_.zone)
         cost_sum += other_zone_cost;
-    if (now < u.cold_until)
+    if (cold)
         cost_sum += cold_cost;
     if (!reachable)
         cost_sum += unreachable_cost;
-    health_status const status = health.status(u.token, now);
+    health_status const status = search.health.status(u.token, now);
     if (status == health_status::suspected)
         cost_sum += suspected_cost;
     if (status == health_status::silent)
@@ -118,10 +132,10 @@
             std::ranges::find(search.request.excluded, token) != search.request.excluded.end())
             continue;
         ++best.candidates;
-        if (now < u->cold_until && !cold_upstream_admits(*u, search.view, search.fleet, now))
+        bool const cold = is_cold(*u, search.view, search.health, now);
+        if (cold && !cold_upstream_admits(*u, search.view, search.fleet, now))
             continue;
-        double const candidate_cost = cost(*u, search.request.long_flow, search.flows,
-                                           search.health, search.fleet, reachable, now);
+        double const candidate_cost = cost(*u, search, cold, reachable, now);
         bool const better = best.upstream.value == 0 || candidate_cost < best.cost - 1e-9;
         bool const tie = !better && std::abs(candidate_cost - best.cost) <= 1e-9;
         // Random tie-breaking: hosts that see equal loads must not all choose the same upstream.
@@ -154,7 +168,7 @@
                 compare_zone(search, upstreams, fleet.zone_reachable(zone), now);
     placement_choice const& best = search.best;
     known_upstream const* const chosen = view.find(best.upstream);
-    if (best.upstream.value != 0 && now < chosen->cold_until)
+    if (best.upstream.value != 0 && is_cold(*chosen, view, health, now))
         recent_cold_flows_[best.upstream.value].push_back(now);
     else if (!recent_cold_flows_.empty() && chosen != nullptr)
         recent_cold_flows_.erase(best.upstream.value);
--- a/coordination/placement.hpp
+++ b/coordination/placement.hpp
@@ -70,6 +70,11 @@
     // Selects one of the route's services by weight.
     std::string const& pick_service(route_entry const& route, flow_endpoints const& flow) const;
 
+    // Whether the upstream is in a cold start, by its entry or because it has just come back after
+    // failing its probes. It may then have been restarted although the entry does not show it yet.
+    static bool is_cold(known_upstream const& u, deployment_view const& view,
+                        upstream_health const& health, time_point now);
+
 private:
     // New flows per second that this host may place on the cold upstream.
     std::size_t cold_share(known_upstream const& u, deployment_view const& view,
@@ -89,8 +94,7 @@
     };
     void compare_zone(candidate_search& search, std::vector<flow_token> const& upstreams,
                       bool reachable, time_point now);
-    double cost(known_upstream const& u, bool long_flow, flow_table const& flows,
-                upstream_health const& health, fleet_state const& fleet, bool reachable,
+    double cost(known_upstream const& u, candidate_search const& search, bool cold, bool reachable,
                 time_point now) const;
 
     placement_settings settings_;
--- a/coordination/upstream_health.cpp
+++ b/coordination/upstream_health.cpp
@@ -34,6 +34,9 @@
 constexpr std::uint32_t max_fast_probes = 3;
 // A probe request expires after this time; by then the store entry has expired too.
 constexpr duration probe_request_lifetime = 6s;
+// Reports of the same return differ by the time on the way, which adds up when they are relayed. A
+// report counts as another return only if it is later by this much.
+constexpr duration same_return_margin = 2s;
 // The host itself is isolated if at least two upstreams fail and none answers for this long.
 constexpr int isolation_min_upstreams = 2;
 constexpr duration isolation_timeout = 700ms;
@@ -56,19 +59,25 @@
     return std::max(r.last_answer, r.peer_answer) >= t;
 }
 
+bool upstream_health::reported_by_peer(record const& r, time_point now)
+{
+    return r.peer_report != time_point{} && now - r.peer_report < peer_report_lifetime &&
+           !answered_since(r, r.peer_report);
+}
+
 bool upstream_health::is_silent(record const& r, time_point now) const
 {
     // A suspicion of another host counts as one failed probe.
-    bool const reported = r.peer_report != time_point{} &&
-                          now - r.peer_report < peer_report_lifetime &&
-                          !answered_since(r, r.peer_report);
-    return r.failed_probes + (reported ? 1 : 0) >= silent_after_probes &&
+    return r.failed_probes + (reported_by_peer(r, now) ? 1 : 0) >= silent_after_probes &&
            !answered_since(r, r.failing_since) && other_upstreams_answer(now);
 }
 
-void upstream_health::record_answer(flow_token upstream, time_point now)
+void upstream_health::record_answer(flow_token upstream, time_point now, time_point flow_opened)
 {
     record& r = records_[upstream.value];
+    if (r.unreachable && flow_opened >= r.failing_since)
+        r.returned_at = now;
+    r.unreachable = false;
     r.last_answer = now;
     r.failures = 0;
     r.failed_probes = 0;
@@ -108,6 +117,31 @@
     r.peer_answer = std::max(r.peer_answer, answered_at);
 }
 
+void upstream_health::record_peer_return(flow_token upstream, time_point returned_at)
+{
+    record& r = records_[upstream.value];
+    if (returned_at > r.returned_at + same_return_margin)
+        r.returned_at = returned_at;
+}
+
+time_point upstream_health::returned_at(flow_token upstream) const
+{
+    auto const it = records_.find(upstream.value);
+    return it == records_.end() ? time_point{} : it->second.returned_at;
+}
+
+std::vector<std::pair<flow_token, time_point>>
+upstream_health::returns_since(time_point since) const
+{
+    std::vector<std::pair<flow_token, time_point>> out;
+    for (auto const& [token, r] : records_)
+        if (r.returned_at != time_point{} && r.returned_at >= since)
+            out.emplace_back(flow_token{token}, r.returned_at);
+    std::ranges::sort(out, [](auto const& a, auto const& b)
+                      { return std::pair(a.second, a.first) > std::pair(b.second, b.first); });
+    return out;
+}
+
 time_point upstream_health::last_answer(flow_token upstream) const
 {
     auto const it = records_.find(upstream.value);
@@ -151,12 +185,17 @@
     r.probed_at = now;
     if (answered)
     {
+        if (r.unreachable)
+            r.returned_at = now;
+        r.unreachable = false;
         r.failed_probes = 0;
         ++r.answered_probes;
         r.probe_requested_at = {};
         return false;
     }
     ++r.failed_probes;
+    r.unreachable = r.unreachable ||
+                    r.failed_probes + (reported_by_peer(r, now) ? 1 : 0) >= silent_after_probes;
     bool const newly_silent = is_silent(r, now) && !r.reported_silent;
     r.reported_silent = r.reported_silent || newly_silent;
     return newly_silent;
@@ -233,7 +272,7 @@
                       record const& r = item.second;
                       time_point const last =
                           std::max({r.last_answer, r.peer_answer, r.last_failure, r.peer_report,
-                                    r.probe_requested_at, r.probed_at});
+                                    r.probe_requested_at, r.probed_at, r.returned_at});
                       return !r.probing && now - last > record_retention;
                   });
 }
--- a/coordination/upstream_health.hpp
+++ b/coordination/upstream_health.hpp
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <span>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace chivelever
@@ -33,8 +34,9 @@
 class upstream_health
 {
 public:
-    // The upstream answered, as shown by a caller's packet.
-    void record_answer(flow_token upstream, time_point now);
+    // The upstream answered, as shown by a caller's packet. An answer on a flow that was opened
+    // before the upstream failed its probes shows that it was not restarted.
+    void record_answer(flow_token upstream, time_point now, time_point flow_opened);
     // A SYN was not answered, or a request was retransmitted. Returns true if this makes the
     // upstream suspected.
     bool record_failure(flow_token upstream, time_point now);
@@ -47,6 +49,13 @@
     // The upstream answered through another host at `answered_at`. Refutes failed probes that began
     // before, since an upstream with a full accept queue does not answer probes.
     void record_peer_answer(flow_token upstream, time_point answered_at);
+    // A host of the upstream's zone has seen it return at `returned_at`.
+    void record_peer_return(flow_token upstream, time_point returned_at);
+    // When the upstream last came back after it had failed its probes, as seen by this host or
+    // another one; zero if never. It may have been restarted, and count as cold.
+    time_point returned_at(flow_token upstream) const;
+    // Upstreams that have returned since `since`, the latest first.
+    std::vector<std::pair<flow_token, time_point>> returns_since(time_point since) const;
     // Time of the upstream's latest answer to a caller of this host; zero if unknown.
     time_point last_answer(flow_token upstream) const;
 
@@ -85,9 +94,12 @@
         std::uint32_t answered_probes{};
         bool probing{};
         bool reported_silent{}; // its flows have been reset
+        bool unreachable{};     // failed its probes and has not come back yet
+        time_point returned_at{};
     };
     bool other_upstreams_answer(time_point now) const;
     bool is_silent(record const& r, time_point now) const;
+    static bool reported_by_peer(record const& r, time_point now);
     static bool answered_since(record const& r, time_point t);
 
     std::unordered_map<std::uint32_t, record> records_;
--- a/edge/edge_host.hpp
+++ b/edge/edge_host.hpp
@@ -74,6 +74,7 @@
     boost::asio::awaitable<bool> fetch_from(endpoint source, std::uint64_t as_of);
     void on_heartbeat(std::string_view bytes, endpoint source);
     peer_heartbeat make_heartbeat(time_point now) const;
+    std::vector<recovering_upstream> recovering_upstreams(time_point now) const;
     std::string encode_local_heartbeat(peer_heartbeat b, time_point now) const;
     void send_heartbeats();
     void announce();
--- a/edge/edge_sync.cpp
+++ b/edge/edge_sync.cpp
@@ -29,6 +29,11 @@
 // Older answers say nothing about a suspicion: the first probe began at most this long ago.
 constexpr duration max_refuting_answer_age = 300ms;
 
+// Upstreams are cold for some seconds; later returns are not reported.
+constexpr duration max_cold_report_age = 30s;
+// Bounds the size of a heartbeat after the crash of many upstreams.
+constexpr std::size_t max_recovering_upstreams = 16;
+
 std::uint32_t ms_since(time_point then, time_point now)
 {
     if (then == time_point{})
@@ -300,6 +305,13 @@
         health_.record_peer_suspicion(t, now);
     for (observed_answer const& a : heartbeat->observed_answers)
         health_.record_peer_answer(a.upstream, now - std::chrono::milliseconds(a.age_ms));
+    for (recovering_upstream const& r : heartbeat->recovering)
+    {
+        // A host of another zone may have been cut off from the upstream.
+        known_upstream const* const u = view_.find(r.upstream);
+        if (r.returned_ms && u != nullptr && u->entry.zone == heartbeat->sender.zone)
+            health_.record_peer_return(r.upstream, now - std::chrono::milliseconds(*r.returned_ms));
+    }
     answer_peer(*heartbeat, now);
     if (outcome.confirms)
         view_.confirm(heartbeat->as_of, outcome.confirmed_at, now);
@@ -337,6 +349,21 @@
     return b;
 }
 
+// Upstreams of this zone that have returned and may be in a cold start. Hosts of other zones need
+// them as well, since a cold upstream is used by the hosts of its own zone only.
+std::vector<recovering_upstream> edge_host::recovering_upstreams(time_point now) const
+{
+    std::vector<recovering_upstream> out;
+    for (auto const& [token, returned] : health_.returns_since(now - max_cold_report_age))
+    {
+        known_upstream const* const u = view_.find(token);
+        if (out.size() < max_recovering_upstreams && u != nullptr &&
+            u->entry.zone == settings_.zone && placement::is_cold(*u, view_, health_, now))
+            out.push_back({token, ms_since(returned, now)});
+    }
+    return out;
+}
+
 // Sends the state of this host to every other one: its start, a read of the store or its exit.
 void edge_host::announce()
 {
@@ -352,6 +379,7 @@
     time_point const now = boot_time_now();
     peer_heartbeat b = make_heartbeat(now);
     b.observed_hosts = peers_.sample_hosts(now);
+    b.recovering = recovering_upstreams(now);
     std::string const full = encode_local_heartbeat(b, now);
     b.observed_hosts.resize(std::min(b.observed_hosts.size(), max_hosts_to_other_zones));
     std::string const brief = encode_heartbeat(b);
--- a/protocol/edge_codec.cpp
+++ b/protocol/edge_codec.cpp
@@ -179,6 +179,20 @@
     return l;
 }
 
+json::array encode_recovering(recovering_upstream const& r)
+{
+    return {r.upstream.value, r.returned_ms ? json::value(*r.returned_ms) : nullptr};
+}
+
+recovering_upstream decode_recovering(json::value const& v)
+{
+    auto const& row = v.as_array();
+    recovering_upstream r{{number<std::uint32_t>(row.at(0))}, std::nullopt};
+    if (!row.at(1).is_null())
+        r.returned_ms = number<std::uint32_t>(row.at(1));
+    return r;
+}
+
 json::value parse(std::string_view text)
 {
     return json::parse(json::string_view(text.data(), text.size()));
@@ -226,10 +240,15 @@
     json::array services;
     for (service_load const& l : b.service_loads)
         services.push_back(encode_service_load(l));
+    json::array recovering;
+    for (recovering_upstream const& r : b.recovering)
+        recovering.push_back(encode_recovering(r));
+    json::value const store_era = nullptr; // element 14, reserved
     return json::serialize(json::array{
         heartbeat_layout_version, encode_peer(b.sender), b.leaving, b.as_of, b.digest,
         b.config_version, b.view_age_ms, std::move(loads), std::move(suspects), std::move(hosts),
-        std::move(zones), std::move(answers), known_hosts, std::move(services)});
+        std::move(zones), std::move(answers), known_hosts, std::move(services),
+        store_era, std::move(recovering)});
 }
 
 std::optional<peer_heartbeat> decode_heartbeat(std::string_view bytes)
@@ -270,6 +289,9 @@
             if (row.size() > 13)
                 for (json::value const& l : row.at(13).as_array())
                     b.service_loads.push_back(decode_service_load(l));
+            if (row.size() > 15)
+                for (json::value const& r : row.at(15).as_array())
+                    b.recovering.push_back(decode_recovering(r));
             return b;
         });
 }
--- a/state/peer_messages.hpp
+++ b/state/peer_messages.hpp
@@ -83,6 +83,14 @@
     auto operator<=>(service_load const&) const = default;
 };
 
+// An upstream of the sender's zone that has come back after it failed its probes.
+struct recovering_upstream
+{
+    flow_token upstream;
+    std::optional<std::uint32_t> returned_ms; // time since its return
+    auto operator<=>(recovering_upstream const&) const = default;
+};
+
 // Heartbeat, sent to other hosts several times a second and immediately after a read of the store.
 // Ages are relative to the time of sending.
 struct peer_heartbeat
@@ -101,6 +109,7 @@
     std::vector<observed_zone> observed_zones;     // only between hosts of one zone
     std::vector<observed_answer> observed_answers; // only between hosts of one zone
     std::vector<service_load> service_loads;       // of services with admission by capacity
+    std::vector<recovering_upstream> recovering;   // of the sender's zone
     bool operator==(peer_heartbeat const&) const = default;
 };
 
--- a/tests/edge_support_test.cpp
+++ b/tests/edge_support_test.cpp
@@ -139,7 +139,12 @@
     b.known_hosts = 7;
     b.observed_zones = {{"wlg", 40}};
     b.observed_answers = {{{5}, 30}};
+    b.recovering = {{{5}, 300}, {{6}, std::nullopt}};
     CHECK(decode_heartbeat(encode_heartbeat(b)) == b);
+    // A host of an earlier version sends no elements after the first ten.
+    auto const earlier = decode_heartbeat("[1,[10,\"akl\"],false,7,8,9,10,[],[],[]]");
+    REQUIRE(earlier);
+    CHECK(earlier->recovering.empty());
 
     operator_listing o = make_operators(30, 4, {desk_route, bulk_route});
     o.evacuated_zones = {"wlg"};
