Keep a retransmitted SYN at its upstream unless another sign shows a failure

Cause: a retransmitted SYN went to a second upstream on the missing answer alone. If only the SYN+ACK was lost, both upstreams answered, and the caller later echoed the token of the one at which the flow is not open.

Change: a retransmitted SYN moves only after a failed probe, a probe that was accepted and closed (the new probe result `closed`: an upstream above its connection limit ignores SYNs), a failure of another flow, or a report of another host. The last two do not count if the upstream has answered anybody since the SYN was sent. So that a dead upstream is still left quickly, the checks of an unanswered SYN start again with each retransmission, and the reference of a probe may be an upstream that answered a while ago: the result counts only if the reference answers now.

--- a/coordination/edge_router.cpp
+++ b/coordination/edge_router.cpp
@@ -17,8 +17,9 @@
 // Interval between checks of an unanswered SYN.
 constexpr duration pending_open_recheck = 20ms;
 // Checks of an unanswered SYN end at this age, shortly before the caller retransmits it after 200
-// ms; handle_retransmitted_syn then sends it to another upstream.
+// ms. Each retransmission starts them again, and the next one follows after 400 ms.
 constexpr duration max_pending_open_age = 190ms;
+constexpr duration max_retransmitted_open_age = 380ms;
 // The first upstream and two more, which is as many as the flow record can exclude.
 constexpr std::uint32_t max_open_attempts = 3;
 // An unknown route is reset only under a configuration confirmed this recently; an older one may
@@ -87,23 +88,40 @@
 {
     flow_record* const flow = flows_.find(p.flow);
     if (flow != nullptr && flow->first_sequence == p.sequence)
-        return handle_retransmitted_syn(*flow, p, now);
+        return handle_retransmitted_syn(*flow, p, raw, now);
     return place_flow(p, raw, now);
 }
 
-// A retransmitted SYN means that the earlier ones were not answered. If the flow has opened in the
-// meantime, the retransmission is outdated and must not open the flow at a second upstream.
+// A retransmitted SYN means that the caller has no answer. If the flow has opened in the meantime,
+// the retransmission is outdated. Otherwise it moves only if there is another sign that the
+// upstream is down or full: if only the SYN+ACK was lost, a second upstream would answer as well,
+// and the caller would go on to echo the token of the one at which the flow is not open.
 packet_decision edge_router::handle_retransmitted_syn(flow_record& flow, caller_packet const& p,
-                                                      time_point now)
+                                                      std::string_view raw, time_point now)
 {
     packet_decision d;
     d.flow = p.flow;
     d.is_syn = true;
     d.open_attempts = flow.open_attempts;
     // In a SYN, `acknowledged` is the number of earlier transmissions.
-    if (flow.phase == flow_phase::opening && p.acknowledged > 0 && view_.route(p.flow.destination))
-        return retry_elsewhere(flow, p.flow, now);
     d.reason = packet_reason::by_flow;
+    if (flow.phase == flow_phase::opening && p.acknowledged > 0 && view_.route(p.flow.destination))
+    {
+        std::uint64_t const id = hash_value(p.flow);
+        flow_token const first = flow.upstream;
+        if (health_.has_other_failure(first, id, flow.opened, now))
+            d = retry_elsewhere(flow, p.flow, now);
+        else
+        {
+            d.newly_suspected = health_.record_failure(first, now, id);
+            d.suspect = first;
+        }
+        // The failure of `first` is recorded; another upstream gets the time for its answer.
+        bool const moved = flow.upstream != first;
+        pending_opens_.emplace(now + (moved ? open_answer_timeout : pending_open_recheck),
+                               pending_open{p.flow, p.sequence, first, std::string(raw),
+                                            now + max_retransmitted_open_age});
+    }
     return forward_to(d, flow.upstream);
 }
 
@@ -113,7 +131,7 @@
     packet_decision d;
     d.flow = key;
     d.is_syn = true;
-    d.newly_suspected = health_.record_failure(flow.upstream, now);
+    d.newly_suspected = health_.record_failure(flow.upstream, now, hash_value(key));
     d.suspect = flow.upstream;
     route_entry const* const route = view_.route(key.destination);
     if (flow.open_attempts < max_open_attempts && route != nullptr)
@@ -164,8 +182,9 @@
         return d;
     }
     flows_.open(p.flow, choice.upstream, p.sequence, now);
-    pending_opens_.emplace(now + open_answer_timeout,
-                           pending_open{p.flow, p.sequence, {}, std::string(raw)});
+    pending_opens_.emplace(
+        now + open_answer_timeout,
+        pending_open{p.flow, p.sequence, {}, std::string(raw), now + max_pending_open_age});
     d.open_attempts = 1;
     d.reason = packet_reason::placed;
     return forward_to(d, choice.upstream);
@@ -247,7 +266,7 @@
         health_.record_answer(flow.upstream, now);
     else if (d.seen.retransmitted)
     {
-        d.newly_suspected = health_.record_failure(flow.upstream, now);
+        d.newly_suspected = health_.record_failure(flow.upstream, now, hash_value(p.flow));
         d.suspect = flow.upstream;
     }
 }
@@ -266,7 +285,7 @@
             flow->first_sequence != pending.sequence)
             continue;
         if (pending.failure_reported_for != flow->upstream)
-            health_.record_failure(flow->upstream, now);
+            health_.record_failure(flow->upstream, now, hash_value(pending.flow));
         pending.failure_reported_for = flow->upstream;
         time_point next = now + pending_open_recheck;
         if (health_.fails_probes(flow->upstream))
@@ -276,7 +295,7 @@
                 out.push_back({d, pending.packet});
             next = now + open_answer_timeout;
         }
-        if (flow->open_attempts < max_open_attempts && now - flow->opened < max_pending_open_age)
+        if (flow->open_attempts < max_open_attempts && now < pending.check_until)
             pending_opens_.emplace(next, std::move(pending));
     }
     return out;
@@ -291,9 +310,9 @@
     return health_.probes_due(now);
 }
 
-flow_token edge_router::reference_upstream(std::span<flow_token const> probed, time_point now) const
+flow_token edge_router::reference_upstream(std::span<flow_token const> probed) const
 {
-    return health_.reference_upstream(probed, now);
+    return health_.reference_upstream(probed);
 }
 
 std::vector<packet_decision> edge_router::probed(flow_token upstream, probe_result result,
--- a/coordination/edge_router.hpp
+++ b/coordination/edge_router.hpp
@@ -106,7 +106,7 @@
     std::vector<packet_decision> probed(flow_token upstream, probe_result result,
                                         time_point started, time_point now);
     // A working upstream to probe for comparison; 0 if there is none.
-    flow_token reference_upstream(std::span<flow_token const> probed, time_point now) const;
+    flow_token reference_upstream(std::span<flow_token const> probed) const;
     // Removes idle flows and outdated health and overload state.
     void expire(time_point now);
 
@@ -117,11 +117,12 @@
         std::uint32_t sequence;
         flow_token failure_reported_for; // upstream with a recorded failure
         std::string packet;
+        time_point check_until; // end of the checks
     };
 
     packet_decision handle_syn(caller_packet const& p, std::string_view raw, time_point now);
     packet_decision handle_retransmitted_syn(flow_record& flow, caller_packet const& p,
-                                             time_point now);
+                                             std::string_view raw, time_point now);
     packet_decision retry_elsewhere(flow_record& flow, flow_endpoints const& key, time_point now);
     packet_decision place_flow(caller_packet const& p, std::string_view raw, time_point now);
     bool is_replaced(flow_record const& flow, caller_packet const& p) const;
--- a/coordination/upstream_health.cpp
+++ b/coordination/upstream_health.cpp
@@ -24,6 +24,11 @@
 constexpr std::uint32_t silent_after_probes = 3;
 // Other upstreams must have answered this recently; otherwise the fault may be on this host's side.
 constexpr duration others_answer_window = 300ms;
+// A failure of another flow counts as a reason to move a SYN for this long. Independent losses on
+// two flows of one upstream within it are rare.
+constexpr duration other_failure_lifetime = 1s;
+// Callers give up a SYN after this time, so that a closed probe counts for all of its copies.
+constexpr duration closed_probe_lifetime = 1400ms;
 // Time from the end of a probe to the next one: short after the first failures to detect a silent
 // upstream soon; long if it works, the result was inconclusive or several probes failed.
 constexpr duration probe_retry_delay = 10ms;
@@ -79,10 +84,13 @@
     failed_upstreams_ = 0;
 }
 
-bool upstream_health::record_failure(flow_token upstream, time_point now)
+bool upstream_health::record_failure(flow_token upstream, time_point now, std::uint64_t flow)
 {
     bool const was_suspected = status(upstream, now) != health_status::healthy;
     record& r = records_[upstream.value];
+    if (r.failed_flows[0].flow != flow)
+        r.failed_flows[1] = r.failed_flows[0];
+    r.failed_flows[0] = {flow, now};
     ++r.failures;
     r.last_failure = now;
     r.probe_requested_at = now;
@@ -139,7 +147,7 @@
 {
     record& r = records_[upstream.value];
     r.probing = false;
-    bool const answered = result == probe_result::answered;
+    bool const answered = result == probe_result::answered || result == probe_result::closed;
     if (r.failed_probes == 0)
         r.failing_since = started;
     if (result == probe_result::inconclusive || (!answered && answered_since(r, r.failing_since)))
@@ -149,6 +157,7 @@
         return false;
     }
     r.probed_at = now;
+    r.closed_at = result == probe_result::closed ? now : time_point{};
     if (answered)
     {
         r.failed_probes = 0;
@@ -169,11 +178,35 @@
            !answered_since(it->second, it->second.failing_since);
 }
 
-flow_token upstream_health::reference_upstream(std::span<flow_token const> probed,
-                                               time_point now) const
+// An answer since the SYN shows that the upstream works and that the answer to the SYN was lost.
+// Only a failed probe begun after that answer, or a closed one, then tells otherwise.
+bool upstream_health::has_other_failure(flow_token upstream, std::uint64_t flow, time_point opened,
+                                        time_point now) const
+{
+    auto const it = records_.find(upstream.value);
+    if (it == records_.end())
+        return false;
+    record const& r = it->second;
+    bool const closed = r.closed_at != time_point{} && now - r.closed_at < closed_probe_lifetime;
+    if (closed || fails_probes(upstream))
+        return true;
+    if (answered_since(r, opened))
+        return false;
+    return is_reported(r, now) ||
+           std::ranges::any_of(r.failed_flows,
+                               [&](failed_flow const& f)
+                               {
+                                   return f.at != time_point{} && f.flow != flow &&
+                                          now - f.at < other_failure_lifetime &&
+                                          !answered_since(r, f.at);
+                               });
+}
+
+// The answer may be old: the reference is probed as well, and the result counts only if it answers.
+flow_token upstream_health::reference_upstream(std::span<flow_token const> probed) const
 {
     flow_token best;
-    time_point latest = now - others_answer_window;
+    time_point latest{};
     for (auto const& [token, r] : records_)
     {
         if (r.last_answer <= latest || r.failures > 0 ||
@@ -202,11 +235,16 @@
         if (now - r.last_failure < span)
             return health_status::suspected;
     }
+    return is_reported(r, now) ? health_status::suspected : health_status::healthy;
+}
+
+bool upstream_health::is_reported(record const& r, time_point now)
+{
     bool const reported =
         r.peer_report != time_point{} && now - r.peer_report < peer_report_lifetime;
     bool const refuted =
         answered_since(r, r.peer_report) || (r.failed_probes == 0 && r.probed_at >= r.peer_report);
-    return reported && !refuted ? health_status::suspected : health_status::healthy;
+    return reported && !refuted;
 }
 
 std::vector<flow_token> upstream_health::suspects(time_point now) const
--- a/coordination/upstream_health.hpp
+++ b/coordination/upstream_health.hpp
@@ -7,6 +7,7 @@
 
 #include "state/state.hpp"
 
+#include <array>
 #include <cstdint>
 #include <span>
 #include <unordered_map>
@@ -27,7 +28,8 @@
 {
     answered,
     unanswered,
-    inconclusive // a working upstream did not answer either, so this host may be at fault
+    inconclusive, // a working upstream did not answer either, so this host may be at fault
+    closed        // accepted and closed: the upstream works but is above its connection limit
 };
 
 class upstream_health
@@ -35,9 +37,9 @@
 public:
     // The upstream answered, as shown by a caller's packet.
     void record_answer(flow_token upstream, time_point now);
-    // A SYN was not answered, or a request was retransmitted. Returns true if this makes the
-    // upstream suspected.
-    bool record_failure(flow_token upstream, time_point now);
+    // A SYN was not answered, or a request was retransmitted. `flow` is a hash of the flow's
+    // endpoints. Returns true if this makes the upstream suspected.
+    bool record_failure(flow_token upstream, time_point now, std::uint64_t flow = 0);
     // A request has been pending for unusually long and no other was answered. Requests a probe
     // only.
     void record_stall(flow_token upstream, time_point now);
@@ -58,8 +60,12 @@
 
     // Whether the last probe failed and no caller has been answered since.
     bool fails_probes(flow_token upstream) const;
+    // Whether anything but the missing answer to `flow`, whose SYN was first sent at `opened`,
+    // shows that the upstream is down or full.
+    bool has_other_failure(flow_token upstream, std::uint64_t flow, time_point opened,
+                           time_point now) const;
     // The upstream that answered most recently and is not in `probed`, as a control for its probes.
-    flow_token reference_upstream(std::span<flow_token const> probed, time_point now) const;
+    flow_token reference_upstream(std::span<flow_token const> probed) const;
     health_status status(flow_token upstream, time_point now) const;
     // Upstreams found failing by this host, to be reported to other hosts.
     std::vector<flow_token> suspects(time_point now) const;
@@ -70,6 +76,11 @@
     void expire(time_point now);
 
 private:
+    struct failed_flow
+    {
+        std::uint64_t flow{};
+        time_point at; // zero if none
+    };
     struct record
     {
         time_point last_answer;
@@ -78,6 +89,9 @@
         time_point peer_report;
         time_point probe_requested_at; // time of the latest probe request; zero if none
         time_point probed_at;
+        time_point closed_at; // of the latest probe, if it was accepted and closed
+        // Latest failures of two different flows; one of them is not the flow in question.
+        std::array<failed_flow, 2> failed_flows{};
         std::uint32_t failures{};      // since the last answer
         std::uint32_t failed_probes{}; // consecutive
         time_point failing_since{};    // start of the first of them
@@ -88,6 +102,8 @@
     };
     bool other_upstreams_answer(time_point now) const;
     bool is_silent(record const& r, time_point now) const;
+    // Whether a report of another host is valid and not refuted by an answer.
+    static bool is_reported(record const& r, time_point now);
     static bool answered_since(record const& r, time_point t);
 
     std::unordered_map<std::uint32_t, record> records_;
--- a/edge/edge_packets.cpp
+++ b/edge/edge_packets.cpp
@@ -40,12 +40,14 @@
     return names[static_cast<std::size_t>(a)];
 }
 
-// An upstream that accepts and closes the connection, as above its connection limit, serves. An
-// attempt that fails also at the reference says nothing.
+// An upstream above its connection limit accepts and closes the connection. An attempt that fails
+// also at the reference says nothing.
 probe_result to_probe_result(connection_outcome upstream, connection_outcome reference)
 {
     auto const answers = [](connection_outcome o)
     { return o == connection_outcome::established || o == connection_outcome::closed; };
+    if (upstream == connection_outcome::closed)
+        return probe_result::closed;
     if (answers(upstream))
         return probe_result::answered;
     bool const tried = upstream != connection_outcome::not_tried;
@@ -172,8 +174,7 @@
 boost::asio::awaitable<void> edge_host::probe(std::vector<flow_token> upstreams)
 {
     time_point const started = boot_time_now();
-    known_upstream const* const reference =
-        view_.find(router_.reference_upstream(upstreams, started));
+    known_upstream const* const reference = view_.find(router_.reference_upstream(upstreams));
     std::vector<flow_token> probed;
     std::vector<endpoint> addresses;
     for (flow_token const t : upstreams)
@@ -219,7 +220,8 @@
                              probe_result result, time_point started)
 {
     time_point const now = boot_time_now();
-    constexpr std::array<std::string_view, 3> names{"answered", "unanswered", "inconclusive"};
+    constexpr std::array<std::string_view, 4> names{"answered", "unanswered", "inconclusive",
+                                                    "closed"};
     std::string const connection(to_string(outcome));
     metrics_.count("probes_total", "connection attempts to doubtful upstreams",
                    "result=\"" + std::string(names[static_cast<std::size_t>(result)]) +
