Don't probe against a reference that has left the view

Cause: since the reference of a probe may have answered a while ago, it may be an upstream that is gone. All probes would then be inconclusive until another upstream answers. Change: edge_router::reference_upstream() skips upstreams that are not in the view or are terminated. The unit test of the reference covers it.

--- a/coordination/edge_router.cpp
+++ b/coordination/edge_router.cpp
@@ -310,9 +310,17 @@
     return health_.probes_due(now);
 }
 
-flow_token edge_router::reference_upstream(std::span<flow_token const> probed) const
+flow_token edge_router::reference_upstream(std::span<flow_token const> probed, time_point now) const
 {
-    return health_.reference_upstream(probed);
+    std::vector<flow_token> excluded(probed.begin(), probed.end());
+    for (;;)
+    {
+        flow_token const t = health_.reference_upstream(excluded);
+        known_upstream const* const u = view_.find(t);
+        if (t.value == 0 || (u != nullptr && !view_.is_terminated(*u, now)))
+            return t;
+        excluded.push_back(t);
+    }
 }
 
 std::vector<packet_decision> edge_router::probed(flow_token upstream, probe_result result,
--- a/coordination/edge_router.hpp
+++ b/coordination/edge_router.hpp
@@ -106,7 +106,7 @@
     std::vector<packet_decision> probed(flow_token upstream, probe_result result,
                                         time_point started, time_point now);
     // A working upstream to probe for comparison; 0 if there is none.
-    flow_token reference_upstream(std::span<flow_token const> probed) const;
+    flow_token reference_upstream(std::span<flow_token const> probed, time_point now) const;
     // Removes idle flows and outdated health and overload state.
     void expire(time_point now);
 
--- a/edge/edge_packets.cpp
+++ b/edge/edge_packets.cpp
@@ -174,7 +174,8 @@
 boost::asio::awaitable<void> edge_host::probe(std::vector<flow_token> upstreams)
 {
     time_point const started = boot_time_now();
-    known_upstream const* const reference = view_.find(router_.reference_upstream(upstreams));
+    known_upstream const* const reference =
+        view_.find(router_.reference_upstream(upstreams, started));
     std::vector<flow_token> probed;
     std::vector<endpoint> addresses;
     for (flow_token const t : upstreams)
--- a/tests/edge_router_test.cpp
+++ b/tests/edge_router_test.cpp
@@ -166,12 +166,14 @@
 TEST_CASE("the reference for probes is the upstream that answered last", "[edge][router]")
 {
     edge_under_test host({make_upstream(1), make_upstream(2)});
-    CHECK(host.router.reference_upstream({}).value == 0);
-    host.health.record_answer({1}, host.now);
-    host.health.record_answer({2}, host.now + 1ms);
-    std::vector<flow_token> const probed{{2}};
-    CHECK(host.router.reference_upstream({}) == flow_token{2});
-    CHECK(host.router.reference_upstream(probed) == flow_token{1});
+    flow_token const a = make_flow_token(make_upstream(1).name);
+    std::vector<flow_token> const b{make_flow_token(make_upstream(2).name)};
+    CHECK(host.router.reference_upstream({}, host.now).value == 0);
+    host.health.record_answer(a, host.now);
+    host.health.record_answer(b[0], host.now + 1ms);
+    host.health.record_answer({12345}, host.now + 2ms); // no longer in the view
+    CHECK(host.router.reference_upstream({}, host.now + 1min) == b[0]);
+    CHECK(host.router.reference_upstream(b, host.now + 1min) == a);
 }
 
 // Guards against reopening an open flow at another upstream: with two answers, the echoed token and
