Keep suspicions and prefer answering upstreams while the view is stale

The view listed upstreams that were gone, and suspicions expired after 0.4 to 3.2 s, reports of other hosts after 0.6 s, without any sign that the upstream was back.

Change: while the view is older than 1.5 s, suspicions and reports last until an answer in the zone or a successful probe. Suspected upstreams are probed every 3 s, and reports are not passed on. Heartbeats within the zone carry the latest 48 answers of the last 2 s, and an upstream without an answer costs two more requests per slot. With a recent view nothing changes. New gauge upstreams_suspected.

--- a/coordination/edge_router.cpp
+++ b/coordination/edge_router.cpp
@@ -25,6 +25,9 @@
 // An unknown route is reset only under a configuration confirmed this recently; an older one may
 // lack a route that was just added.
 constexpr duration recent_config_age = 2s;
+// A view that was not confirmed for this long is stale. Hosts read the store every 800 ms; a read
+// by the next host in the order still confirms the view in time.
+constexpr duration stale_view_age = 1500ms;
 // An upstream that answers no request for this long is probed. Most requests take 20 to 60 ms, few
 // more than 100 ms.
 constexpr duration min_stall_timeout = 100ms;
@@ -52,6 +55,12 @@
     return now - view_.version().confirmed_at < recent_config_age;
 }
 
+void edge_router::update_staleness(time_point now)
+{
+    time_point const since = view_.version().confirmed_at + stale_view_age;
+    health_.set_stale_since(view_.loaded() && now > since ? since : time_point{});
+}
+
 packet_decision edge_router::forward_to(packet_decision d, flow_token token) const
 {
     known_upstream const* const u = view_.find(token);
@@ -75,6 +84,7 @@
     d.reset_sequence = p.acknowledged;
     if (!view_.loaded())
         return d;
+    update_staleness(now);
     if (p.syn && (p.ack || p.fin || p.rst))
     {
         d.reason = packet_reason::bad_flags;
@@ -276,6 +286,7 @@
 // packets.
 std::vector<syn_retry> edge_router::retries_due(time_point now)
 {
+    update_staleness(now);
     std::vector<syn_retry> out;
     while (!pending_opens_.empty() && pending_opens_.begin()->first <= now)
     {
@@ -303,6 +314,7 @@
 
 std::vector<flow_token> edge_router::probes_due(time_point now)
 {
+    update_staleness(now);
     duration const limit =
         std::max<duration>(min_stall_timeout, flows_.mean_answer_time() * stall_timeout_answers);
     for (flow_token const t : flows_.stalled_upstreams(now, limit))
--- a/coordination/edge_router.hpp
+++ b/coordination/edge_router.hpp
@@ -131,6 +131,7 @@
     void record_observation(packet_decision& d, flow_record& flow, caller_packet const& p,
                             time_point now);
     bool config_is_recent(time_point now) const;
+    void update_staleness(time_point now);
 
     deployment_view& view_;
     flow_table& flows_;
--- a/coordination/placement.cpp
+++ b/coordination/placement.cpp
@@ -25,6 +25,9 @@
 constexpr double unreachable_cost = 100.0;
 constexpr double suspected_cost = 200.0;
 constexpr double silent_cost = 1000.0;
+// Cost of an upstream without a recent answer while the view is stale. Within the queue that an
+// upstream has per slot, so that the others are preferred but not overfilled.
+constexpr double unconfirmed_cost = 2.0;
 constexpr duration cold_rate_window = 1s;
 // Hosts of a large zone that may use the same cold upstream.
 constexpr double max_cold_owners = 4;
@@ -99,6 +102,8 @@
         cost_sum += cold_cost;
     if (!reachable)
         cost_sum += unreachable_cost;
+    if (health.lacks_recent_answer(u.token, now))
+        cost_sum += unconfirmed_cost;
     health_status const status = health.status(u.token, now);
     if (status == health_status::suspected)
         cost_sum += suspected_cost;
--- a/coordination/upstream_health.cpp
+++ b/coordination/upstream_health.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <functional>
 
 namespace chivelever
 {
@@ -43,6 +44,13 @@
 constexpr int isolation_min_upstreams = 2;
 constexpr duration isolation_timeout = 700ms;
 constexpr duration record_retention = 90s;
+// While the view is stale, an upstream that stays suspected is probed at this interval, as it gets
+// no flows that could show its return.
+constexpr duration stale_probe_interval = 3s;
+// Bounds the connection attempts that start together when a whole zone stops responding.
+constexpr std::size_t max_stale_probes_per_check = 4;
+// An upstream in use answers several times a second; one that died is avoided after this time.
+constexpr duration recent_answer_window = 2s;
 
 std::uint64_t hash_bit(std::uint64_t hash)
 {
@@ -122,9 +130,48 @@
     return it == records_.end() ? time_point{} : it->second.last_answer;
 }
 
+bool upstream_health::lacks_recent_answer(flow_token upstream, time_point now) const
+{
+    if (stale_since_ == time_point{})
+        return false;
+    auto const it = records_.find(upstream.value);
+    return it == records_.end() || !answered_since(it->second, now - recent_answer_window);
+}
+
+std::vector<std::pair<flow_token, time_point>> upstream_health::recent_answers(std::size_t limit,
+                                                                               time_point now) const
+{
+    std::vector<std::pair<flow_token, time_point>> out;
+    if (stale_since_ == time_point{})
+        return out;
+    for (auto const& [token, r] : records_)
+        if (r.last_answer >= now - recent_answer_window)
+            out.emplace_back(flow_token{token}, r.last_answer);
+    std::ranges::sort(out, std::greater{}, &std::pair<flow_token, time_point>::second);
+    out.resize(std::min(out.size(), limit));
+    return out;
+}
+
+bool upstream_health::is_kept(record const& r, time_point t, duration span) const
+{
+    return stale_since_ != time_point{} && t != time_point{} && t + span >= stale_since_ &&
+           !answered_since(r, t) && r.probe_answered_at < t;
+}
+
+// A host that only knows of the failure from others leaves the probes to them while they report it.
+bool upstream_health::stale_probe_due(record const& r, time_point now) const
+{
+    bool const own = is_suspected_here(r, now);
+    time_point const last =
+        std::max({r.probed_at, r.last_failure, own ? time_point{} : r.peer_report});
+    return stale_since_ != time_point{} && now - last >= stale_probe_interval &&
+           (own || is_reported(r, now));
+}
+
 std::vector<flow_token> upstream_health::probes_due(time_point now)
 {
     std::vector<flow_token> out;
+    std::size_t stale_probes = 0;
     for (auto& [token, r] : records_)
     {
         bool const probe_requested = r.probe_requested_at != time_point{} &&
@@ -134,8 +181,11 @@
         bool const paused =
             r.probed_at != time_point{} &&
             now - r.probed_at < (fast ? probe_retry_delay : probe_interval * (1 << doublings));
-        if (!probe_requested || paused || r.probing)
+        bool const stale_due =
+            !r.probing && stale_probes < max_stale_probes_per_check && stale_probe_due(r, now);
+        if ((!probe_requested || paused || r.probing) && !stale_due)
             continue;
+        stale_probes += stale_due ? 1 : 0;
         r.probing = true;
         out.push_back({token});
     }
@@ -158,6 +208,8 @@
     }
     r.probed_at = now;
     r.closed_at = result == probe_result::closed ? now : time_point{};
+    if (result == probe_result::answered)
+        r.probe_answered_at = now;
     if (answered)
     {
         r.failed_probes = 0;
@@ -226,33 +278,39 @@
     record const& r = it->second;
     if (is_silent(r, now))
         return health_status::silent;
+    return is_suspected_here(r, now) || is_reported(r, now) ? health_status::suspected
+                                                            : health_status::healthy;
+}
+
+bool upstream_health::is_suspected_here(record const& r, time_point now) const
+{
     if (r.failed_probes > 0 && r.last_answer < r.probed_at)
-        return health_status::suspected;
-    if (r.failures > 0)
-    {
-        duration const span = std::min<duration>(
-            suspicion_maximum, suspicion_base * (1 << std::min<std::uint32_t>(r.failures - 1, 4)));
-        if (now - r.last_failure < span)
-            return health_status::suspected;
-    }
-    return is_reported(r, now) ? health_status::suspected : health_status::healthy;
+        return true;
+    if (r.failures == 0)
+        return false;
+    duration const span = std::min<duration>(
+        suspicion_maximum, suspicion_base * (1 << std::min<std::uint32_t>(r.failures - 1, 4)));
+    return now - r.last_failure < span || is_kept(r, r.last_failure, span);
 }
 
-bool upstream_health::is_reported(record const& r, time_point now)
+bool upstream_health::is_reported(record const& r, time_point now) const
 {
     bool const reported =
         r.peer_report != time_point{} && now - r.peer_report < peer_report_lifetime;
     bool const refuted =
         answered_since(r, r.peer_report) || (r.failed_probes == 0 && r.probed_at >= r.peer_report);
-    return reported && !refuted;
+    return (reported && !refuted) || is_kept(r, r.peer_report, peer_report_lifetime);
 }
 
+// While the view is stale, a report of another host is not passed on: two hosts would keep each
+// other's suspicion alive.
 std::vector<flow_token> upstream_health::suspects(time_point now) const
 {
     std::vector<flow_token> out;
     for (auto const& [token, r] : records_)
         if ((r.failures > 0 || r.failed_probes > 0) &&
-            status({token}, now) != health_status::healthy)
+            status({token}, now) != health_status::healthy &&
+            (stale_since_ == time_point{} || is_suspected_here(r, now) || is_silent(r, now)))
             out.push_back({token});
     return out;
 }
--- a/coordination/upstream_health.hpp
+++ b/coordination/upstream_health.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <span>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace chivelever
@@ -49,6 +50,15 @@
     // The upstream answered through another host at `answered_at`. Refutes failed probes that began
     // before, since an upstream with a full accept queue does not answer probes.
     void record_peer_answer(flow_token upstream, time_point answered_at);
+    // Tells since when the deployment view is stale; zero while it is recent. A stale view lists
+    // upstreams that are gone, so suspicions then last until the upstream responds.
+    void set_stale_since(time_point since) { stale_since_ = since; }
+    // Whether the view is stale and the upstream has not recently answered any host of the zone.
+    bool lacks_recent_answer(flow_token upstream, time_point now) const;
+    // The latest answers to callers of this host, at most `limit`, for the hosts of the zone; empty
+    // while the view is recent.
+    std::vector<std::pair<flow_token, time_point>> recent_answers(std::size_t limit,
+                                                                  time_point now) const;
     // Time of the upstream's latest answer to a caller of this host; zero if unknown.
     time_point last_answer(flow_token upstream) const;
 
@@ -89,6 +99,7 @@
         time_point peer_report;
         time_point probe_requested_at; // time of the latest probe request; zero if none
         time_point probed_at;
+        time_point probe_answered_at;
         time_point closed_at; // of the latest probe, if it was accepted and closed
         // Latest failures of two different flows; one of them is not the flow in question.
         std::array<failed_flow, 2> failed_flows{};
@@ -103,10 +114,17 @@
     bool other_upstreams_answer(time_point now) const;
     bool is_silent(record const& r, time_point now) const;
     // Whether a report of another host is valid and not refuted by an answer.
-    static bool is_reported(record const& r, time_point now);
+    bool is_reported(record const& r, time_point now) const;
+    // Whether failures or probes of this host make the upstream suspected.
+    bool is_suspected_here(record const& r, time_point now) const;
+    // Whether a suspicion that began at `t` and would otherwise last for `span` is kept because the
+    // view is stale.
+    bool is_kept(record const& r, time_point t, duration span) const;
+    bool stale_probe_due(record const& r, time_point now) const;
     static bool answered_since(record const& r, time_point t);
 
     std::unordered_map<std::uint32_t, record> records_;
+    time_point stale_since_{};
     time_point last_answer_{};         // of any upstream
     time_point first_failure_{};       // of any upstream since last_answer_
     std::uint64_t failed_upstreams_{}; // bit set of hashes, since last_answer_
--- a/edge/edge_host.cpp
+++ b/edge/edge_host.cpp
@@ -173,6 +173,9 @@
                    [this] { return static_cast<double>(view_.upstream_count()); });
     metrics_.gauge("peers_heard", "other hosts that are heard",
                    [this] { return static_cast<double>(peers_.alive_count()); });
+    metrics_.gauge("upstreams_suspected", "upstreams that this host found failing",
+                   [this]
+                   { return static_cast<double>(health_.suspects(boot_time_now()).size()); });
     metrics_.gauge("log_lines_dropped", "log lines that nobody read in time",
                    [] { return static_cast<double>(log::dropped_lines()); });
     metrics_.gauge("log_lines_suppressed", "log lines above the limit of their event",
--- a/edge/edge_sync.cpp
+++ b/edge/edge_sync.cpp
@@ -28,6 +28,9 @@
 constexpr std::size_t max_hosts_to_other_zones = 4;
 // Older answers say nothing about a suspicion: the first probe began at most this long ago.
 constexpr duration max_refuting_answer_age = 300ms;
+// Bounds the heartbeats of a zone with many upstreams. A host with 0.12 of a core gets about 24
+// answers within the 2 s that they count.
+constexpr std::size_t max_reported_answers = 48;
 
 std::uint32_t ms_since(time_point then, time_point now)
 {
@@ -372,6 +375,8 @@
         b.loads.push_back({{token}, load.flows, static_cast<std::uint32_t>(mean)});
     }
     b.suspected_upstreams = health_.suspects(now);
+    for (auto const& [token, answered] : health_.recent_answers(max_reported_answers, now))
+        b.observed_answers.push_back({token, ms_since(answered, now)});
     b.observed_zones = peers_.observed_zones(now);
     return encode_heartbeat(b);
 }
