--- a/coordination/edge_router.cpp
+++ b/coordination/edge_router.cpp
@@ -17,13 +17,17 @@
 // Interval between checks of an unanswered SYN.
 constexpr duration pending_open_recheck = 20ms;
 // Checks of an unanswered SYN end at this age, shortly before the caller retransmits it after 200
-// ms; handle_retransmitted_syn then sends it to another upstream.
+// ms. Each retransmission starts them again, and the next one follows after 400 ms.
 constexpr duration max_pending_open_age = 190ms;
+constexpr duration max_retransmitted_open_age = 380ms;
 // The first upstream and two more, which is as many as the flow record can exclude.
 constexpr std::uint32_t max_open_attempts = 3;
 // An unknown route is reset only under a configuration confirmed this recently; an older one may
 // lack a route that was just added.
 constexpr duration recent_config_age = 2s;
+// A view that was not confirmed for this long is stale. Hosts read the store every 800 ms; a read
+// by the next host in the order still confirms the view in time.
+constexpr duration stale_view_age = 1500ms;
 // An upstream that answers no request for this long is probed. Most requests take 20 to 60 ms, few
 // more than 100 ms.
 constexpr duration min_stall_timeout = 100ms;
@@ -51,6 +55,12 @@
     return now - view_.version().confirmed_at < recent_config_age;
 }
 
+void edge_router::update_staleness(time_point now)
+{
+    time_point const since = view_.version().confirmed_at + stale_view_age;
+    health_.set_stale_since(view_.loaded() && now > since ? since : time_point{});
+}
+
 packet_decision edge_router::forward_to(packet_decision d, flow_token token) const
 {
     known_upstream const* const u = view_.find(token);
@@ -74,6 +84,7 @@
     d.reset_sequence = p.acknowledged;
     if (!view_.loaded())
         return d;
+    update_staleness(now);
     if (p.syn && (p.ack || p.fin || p.rst))
     {
         d.reason = packet_reason::bad_flags;
@@ -87,23 +98,40 @@
 {
     flow_record* const flow = flows_.find(p.flow);
     if (flow != nullptr && flow->first_sequence == p.sequence)
-        return handle_retransmitted_syn(*flow, p, now);
+        return handle_retransmitted_syn(*flow, p, raw, now);
     return place_flow(p, raw, now);
 }
 
-// A retransmitted SYN means that the earlier ones were not answered. If the flow has opened in the
-// meantime, the retransmission is outdated and must not open the flow at a second upstream.
+// A retransmitted SYN means that the caller has no answer. If the flow has opened in the meantime,
+// the retransmission is outdated. Otherwise it moves only if there is another sign that the
+// upstream is down or full: if only the SYN+ACK was lost, a second upstream would answer as well,
+// and the caller would go on to echo the token of the one at which the flow is not open.
 packet_decision edge_router::handle_retransmitted_syn(flow_record& flow, caller_packet const& p,
-                                                      time_point now)
+                                                      std::string_view raw, time_point now)
 {
     packet_decision d;
     d.flow = p.flow;
     d.is_syn = true;
     d.open_attempts = flow.open_attempts;
     // In a SYN, `acknowledged` is the number of earlier transmissions.
-    if (flow.phase == flow_phase::opening && p.acknowledged > 0 && view_.route(p.flow.destination))
-        return retry_elsewhere(flow, p.flow, now);
     d.reason = packet_reason::by_flow;
+    if (flow.phase == flow_phase::opening && p.acknowledged > 0 && view_.route(p.flow.destination))
+    {
+        std::uint64_t const id = hash_value(p.flow);
+        flow_token const first = flow.upstream;
+        if (health_.has_other_failure(first, id, flow.opened, now))
+            d = retry_elsewhere(flow, p.flow, now);
+        else
+        {
+            d.newly_suspected = health_.record_failure(first, now, id);
+            d.suspect = first;
+        }
+        // The failure of `first` is recorded; another upstream gets the time for its answer.
+        bool const moved = flow.upstream != first;
+        pending_opens_.emplace(now + (moved ? open_answer_timeout : pending_open_recheck),
+                               pending_open{p.flow, p.sequence, first, std::string(raw),
+                                            now + max_retransmitted_open_age});
+    }
     return forward_to(d, flow.upstream);
 }
 
@@ -113,7 +141,7 @@
     packet_decision d;
     d.flow = key;
     d.is_syn = true;
-    d.newly_suspected = health_.record_failure(flow.upstream, now);
+    d.newly_suspected = health_.record_failure(flow.upstream, now, hash_value(key));
     d.suspect = flow.upstream;
     route_entry const* const route = view_.route(key.destination);
     if (flow.open_attempts < max_open_attempts && route != nullptr)
@@ -164,8 +192,9 @@
         return d;
     }
     flows_.open(p.flow, choice.upstream, p.sequence, now);
-    pending_opens_.emplace(now + open_answer_timeout,
-                           pending_open{p.flow, p.sequence, {}, std::string(raw)});
+    pending_opens_.emplace(
+        now + open_answer_timeout,
+        pending_open{p.flow, p.sequence, {}, std::string(raw), now + max_pending_open_age});
     d.open_attempts = 1;
     d.reason = packet_reason::placed;
     return forward_to(d, choice.upstream);
@@ -247,7 +276,7 @@
         health_.record_answer(flow.upstream, now, flow.opened);
     else if (d.seen.retransmitted)
     {
-        d.newly_suspected = health_.record_failure(flow.upstream, now);
+        d.newly_suspected = health_.record_failure(flow.upstream, now, hash_value(p.flow));
         d.suspect = flow.upstream;
     }
 }
@@ -257,6 +286,7 @@
 // packets.
 std::vector<syn_retry> edge_router::retries_due(time_point now)
 {
+    update_staleness(now);
     std::vector<syn_retry> out;
     while (!pending_opens_.empty() && pending_opens_.begin()->first <= now)
     {
@@ -266,7 +296,7 @@
             flow->first_sequence != pending.sequence)
             continue;
         if (pending.failure_reported_for != flow->upstream)
-            health_.record_failure(flow->upstream, now);
+            health_.record_failure(flow->upstream, now, hash_value(pending.flow));
         pending.failure_reported_for = flow->upstream;
         time_point next = now + pending_open_recheck;
         if (health_.fails_probes(flow->upstream))
@@ -276,7 +306,7 @@
                 out.push_back({d, pending.packet});
             next = now + open_answer_timeout;
         }
-        if (flow->open_attempts < max_open_attempts && now - flow->opened < max_pending_open_age)
+        if (flow->open_attempts < max_open_attempts && now < pending.check_until)
             pending_opens_.emplace(next, std::move(pending));
     }
     return out;
@@ -284,6 +314,7 @@
 
 std::vector<flow_token> edge_router::probes_due(time_point now)
 {
+    update_staleness(now);
     duration const limit =
         std::max<duration>(min_stall_timeout, flows_.mean_answer_time() * stall_timeout_answers);
     for (flow_token const t : flows_.stalled_upstreams(now, limit))
@@ -293,7 +324,15 @@
 
 flow_token edge_router::reference_upstream(std::span<flow_token const> probed, time_point now) const
 {
-    return health_.reference_upstream(probed, now);
+    std::vector<flow_token> excluded(probed.begin(), probed.end());
+    for (;;)
+    {
+        flow_token const t = health_.reference_upstream(excluded);
+        known_upstream const* const u = view_.find(t);
+        if (t.value == 0 || (u != nullptr && !view_.is_terminated(*u, now)))
+            return t;
+        excluded.push_back(t);
+    }
 }
 
 std::vector<packet_decision> edge_router::probed(flow_token upstream, probe_result result,
--- a/coordination/edge_router.hpp
+++ b/coordination/edge_router.hpp
@@ -117,11 +117,12 @@
         std::uint32_t sequence;
         flow_token failure_reported_for; // upstream with a recorded failure
         std::string packet;
+        time_point check_until; // end of the checks
     };
 
     packet_decision handle_syn(caller_packet const& p, std::string_view raw, time_point now);
     packet_decision handle_retransmitted_syn(flow_record& flow, caller_packet const& p,
-                                             time_point now);
+                                             std::string_view raw, time_point now);
     packet_decision retry_elsewhere(flow_record& flow, flow_endpoints const& key, time_point now);
     packet_decision place_flow(caller_packet const& p, std::string_view raw, time_point now);
     bool is_replaced(flow_record const& flow, caller_packet const& p) const;
@@ -130,6 +131,7 @@
     void record_observation(packet_decision& d, flow_record& flow, caller_packet const& p,
                             time_point now);
     bool config_is_recent(time_point now) const;
+    void update_staleness(time_point now);
 
     deployment_view& view_;
     flow_table& flows_;
--- a/coordination/upstream_health.cpp
+++ b/coordination/upstream_health.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <functional>
 
 namespace chivelever
 {
@@ -24,6 +25,11 @@
 constexpr std::uint32_t silent_after_probes = 3;
 // Other upstreams must have answered this recently; otherwise the fault may be on this host's side.
 constexpr duration others_answer_window = 300ms;
+// A failure of another flow counts as a reason to move a SYN for this long. Independent losses on
+// two flows of one upstream within it are rare.
+constexpr duration other_failure_lifetime = 1s;
+// Callers give up a SYN after this time, so that a closed probe counts for all of its copies.
+constexpr duration closed_probe_lifetime = 1400ms;
 // Time from the end of a probe to the next one: short after the first failures to detect a silent
 // upstream soon; long if it works, the result was inconclusive or several probes failed.
 constexpr duration probe_retry_delay = 10ms;
@@ -41,6 +47,13 @@
 constexpr int isolation_min_upstreams = 2;
 constexpr duration isolation_timeout = 700ms;
 constexpr duration record_retention = 90s;
+// While the view is stale, an upstream that stays suspected is probed at this interval, as it gets
+// no flows that could show its return.
+constexpr duration stale_probe_interval = 3s;
+// Bounds the connection attempts that start together when a whole zone stops responding.
+constexpr std::size_t max_stale_probes_per_check = 4;
+// An upstream in use answers several times a second; one that died is avoided after this time.
+constexpr duration recent_answer_window = 2s;
 
 std::uint64_t hash_bit(std::uint64_t hash)
 {
@@ -88,10 +101,13 @@
     failed_upstreams_ = 0;
 }
 
-bool upstream_health::record_failure(flow_token upstream, time_point now)
+bool upstream_health::record_failure(flow_token upstream, time_point now, std::uint64_t flow)
 {
     bool const was_suspected = status(upstream, now) != health_status::healthy;
     record& r = records_[upstream.value];
+    if (r.failed_flows[0].flow != flow)
+        r.failed_flows[1] = r.failed_flows[0];
+    r.failed_flows[0] = {flow, now};
     ++r.failures;
     r.last_failure = now;
     r.probe_requested_at = now;
@@ -148,9 +164,48 @@
     return it == records_.end() ? time_point{} : it->second.last_answer;
 }
 
+bool upstream_health::lacks_recent_answer(flow_token upstream, time_point now) const
+{
+    if (stale_since_ == time_point{})
+        return false;
+    auto const it = records_.find(upstream.value);
+    return it == records_.end() || !answered_since(it->second, now - recent_answer_window);
+}
+
+std::vector<std::pair<flow_token, time_point>> upstream_health::recent_answers(std::size_t limit,
+                                                                               time_point now) const
+{
+    std::vector<std::pair<flow_token, time_point>> out;
+    if (stale_since_ == time_point{})
+        return out;
+    for (auto const& [token, r] : records_)
+        if (r.last_answer >= now - recent_answer_window)
+            out.emplace_back(flow_token{token}, r.last_answer);
+    std::ranges::sort(out, std::greater{}, &std::pair<flow_token, time_point>::second);
+    out.resize(std::min(out.size(), limit));
+    return out;
+}
+
+bool upstream_health::is_kept(record const& r, time_point t, duration span) const
+{
+    return stale_since_ != time_point{} && t != time_point{} && t + span >= stale_since_ &&
+           !answered_since(r, t) && r.probe_answered_at < t;
+}
+
+// A host that only knows of the failure from others leaves the probes to them while they report it.
+bool upstream_health::stale_probe_due(record const& r, time_point now) const
+{
+    bool const own = is_suspected_here(r, now);
+    time_point const last =
+        std::max({r.probed_at, r.last_failure, own ? time_point{} : r.peer_report});
+    return stale_since_ != time_point{} && now - last >= stale_probe_interval &&
+           (own || is_reported(r, now));
+}
+
 std::vector<flow_token> upstream_health::probes_due(time_point now)
 {
     std::vector<flow_token> out;
+    std::size_t stale_probes = 0;
     for (auto& [token, r] : records_)
     {
         bool const probe_requested = r.probe_requested_at != time_point{} &&
@@ -160,8 +215,11 @@
         bool const paused =
             r.probed_at != time_point{} &&
             now - r.probed_at < (fast ? probe_retry_delay : probe_interval * (1 << doublings));
-        if (!probe_requested || paused || r.probing)
+        bool const stale_due =
+            !r.probing && stale_probes < max_stale_probes_per_check && stale_probe_due(r, now);
+        if ((!probe_requested || paused || r.probing) && !stale_due)
             continue;
+        stale_probes += stale_due ? 1 : 0;
         r.probing = true;
         out.push_back({token});
     }
@@ -173,7 +231,7 @@
 {
     record& r = records_[upstream.value];
     r.probing = false;
-    bool const answered = result == probe_result::answered;
+    bool const answered = result == probe_result::answered || result == probe_result::closed;
     if (r.failed_probes == 0)
         r.failing_since = started;
     if (result == probe_result::inconclusive || (!answered && answered_since(r, r.failing_since)))
@@ -183,6 +241,9 @@
         return false;
     }
     r.probed_at = now;
+    r.closed_at = result == probe_result::closed ? now : time_point{};
+    if (result == probe_result::answered)
+        r.probe_answered_at = now;
     if (answered)
     {
         if (r.unreachable)
@@ -208,11 +269,35 @@
            !answered_since(it->second, it->second.failing_since);
 }
 
-flow_token upstream_health::reference_upstream(std::span<flow_token const> probed,
-                                               time_point now) const
+// An answer since the SYN shows that the upstream works and that the answer to the SYN was lost.
+// Only a failed probe begun after that answer, or a closed one, then tells otherwise.
+bool upstream_health::has_other_failure(flow_token upstream, std::uint64_t flow, time_point opened,
+                                        time_point now) const
+{
+    auto const it = records_.find(upstream.value);
+    if (it == records_.end())
+        return false;
+    record const& r = it->second;
+    bool const closed = r.closed_at != time_point{} && now - r.closed_at < closed_probe_lifetime;
+    if (closed || fails_probes(upstream))
+        return true;
+    if (answered_since(r, opened))
+        return false;
+    return is_reported(r, now) ||
+           std::ranges::any_of(r.failed_flows,
+                               [&](failed_flow const& f)
+                               {
+                                   return f.at != time_point{} && f.flow != flow &&
+                                          now - f.at < other_failure_lifetime &&
+                                          !answered_since(r, f.at);
+                               });
+}
+
+// The answer may be old: the reference is probed as well, and the result counts only if it answers.
+flow_token upstream_health::reference_upstream(std::span<flow_token const> probed) const
 {
     flow_token best;
-    time_point latest = now - others_answer_window;
+    time_point latest{};
     for (auto const& [token, r] : records_)
     {
         if (r.last_answer <= latest || r.failures > 0 ||
@@ -232,28 +317,39 @@
     record const& r = it->second;
     if (is_silent(r, now))
         return health_status::silent;
+    return is_suspected_here(r, now) || is_reported(r, now) ? health_status::suspected
+                                                            : health_status::healthy;
+}
+
+bool upstream_health::is_suspected_here(record const& r, time_point now) const
+{
     if (r.failed_probes > 0 && r.last_answer < r.probed_at)
-        return health_status::suspected;
-    if (r.failures > 0)
-    {
-        duration const span = std::min<duration>(
-            suspicion_maximum, suspicion_base * (1 << std::min<std::uint32_t>(r.failures - 1, 4)));
-        if (now - r.last_failure < span)
-            return health_status::suspected;
-    }
+        return true;
+    if (r.failures == 0)
+        return false;
+    duration const span = std::min<duration>(
+        suspicion_maximum, suspicion_base * (1 << std::min<std::uint32_t>(r.failures - 1, 4)));
+    return now - r.last_failure < span || is_kept(r, r.last_failure, span);
+}
+
+bool upstream_health::is_reported(record const& r, time_point now) const
+{
     bool const reported =
         r.peer_report != time_point{} && now - r.peer_report < peer_report_lifetime;
     bool const refuted =
         answered_since(r, r.peer_report) || (r.failed_probes == 0 && r.probed_at >= r.peer_report);
-    return reported && !refuted ? health_status::suspected : health_status::healthy;
+    return (reported && !refuted) || is_kept(r, r.peer_report, peer_report_lifetime);
 }
 
+// While the view is stale, a report of another host is not passed on: two hosts would keep each
+// other's suspicion alive.
 std::vector<flow_token> upstream_health::suspects(time_point now) const
 {
     std::vector<flow_token> out;
     for (auto const& [token, r] : records_)
         if ((r.failures > 0 || r.failed_probes > 0) &&
-            status({token}, now) != health_status::healthy)
+            status({token}, now) != health_status::healthy &&
+            (stale_since_ == time_point{} || is_suspected_here(r, now) || is_silent(r, now)))
             out.push_back({token});
     return out;
 }
--- a/coordination/upstream_health.hpp
+++ b/coordination/upstream_health.hpp
@@ -7,6 +7,7 @@
 
 #include "state/state.hpp"
 
+#include <array>
 #include <cstdint>
 #include <span>
 #include <unordered_map>
@@ -28,7 +29,8 @@
 {
     answered,
     unanswered,
-    inconclusive // a working upstream did not answer either, so this host may be at fault
+    inconclusive, // a working upstream did not answer either, so this host may be at fault
+    closed        // accepted and closed: the upstream works but is above its connection limit
 };
 
 class upstream_health
@@ -37,9 +39,9 @@
     // The upstream answered, as shown by a caller's packet. An answer on a flow that was opened
     // before the upstream failed its probes shows that it was not restarted.
     void record_answer(flow_token upstream, time_point now, time_point flow_opened);
-    // A SYN was not answered, or a request was retransmitted. Returns true if this makes the
-    // upstream suspected.
-    bool record_failure(flow_token upstream, time_point now);
+    // A SYN was not answered, or a request was retransmitted. `flow` is a hash of the flow's
+    // endpoints. Returns true if this makes the upstream suspected.
+    bool record_failure(flow_token upstream, time_point now, std::uint64_t flow = 0);
     // A request has been pending for unusually long and no other was answered. Requests a probe
     // only.
     void record_stall(flow_token upstream, time_point now);
@@ -56,6 +58,15 @@
     time_point returned_at(flow_token upstream) const;
     // Upstreams that have returned since `since`, the latest first.
     std::vector<std::pair<flow_token, time_point>> returns_since(time_point since) const;
+    // Tells since when the deployment view is stale; zero while it is recent. A stale view lists
+    // upstreams that are gone, so suspicions then last until the upstream responds.
+    void set_stale_since(time_point since) { stale_since_ = since; }
+    // Whether the view is stale and the upstream has not recently answered any host of the zone.
+    bool lacks_recent_answer(flow_token upstream, time_point now) const;
+    // The latest answers to callers of this host, at most `limit`, for the hosts of the zone; empty
+    // while the view is recent.
+    std::vector<std::pair<flow_token, time_point>> recent_answers(std::size_t limit,
+                                                                  time_point now) const;
     // Time of the upstream's latest answer to a caller of this host; zero if unknown.
     time_point last_answer(flow_token upstream) const;
 
@@ -67,8 +78,12 @@
 
     // Whether the last probe failed and no caller has been answered since.
     bool fails_probes(flow_token upstream) const;
+    // Whether anything but the missing answer to `flow`, whose SYN was first sent at `opened`,
+    // shows that the upstream is down or full.
+    bool has_other_failure(flow_token upstream, std::uint64_t flow, time_point opened,
+                           time_point now) const;
     // The upstream that answered most recently and is not in `probed`, as a control for its probes.
-    flow_token reference_upstream(std::span<flow_token const> probed, time_point now) const;
+    flow_token reference_upstream(std::span<flow_token const> probed) const;
     health_status status(flow_token upstream, time_point now) const;
     // Upstreams found failing by this host, to be reported to other hosts.
     std::vector<flow_token> suspects(time_point now) const;
@@ -79,6 +94,11 @@
     void expire(time_point now);
 
 private:
+    struct failed_flow
+    {
+        std::uint64_t flow{};
+        time_point at; // zero if none
+    };
     struct record
     {
         time_point last_answer;
@@ -87,6 +107,10 @@
         time_point peer_report;
         time_point probe_requested_at; // time of the latest probe request; zero if none
         time_point probed_at;
+        time_point probe_answered_at;
+        time_point closed_at; // of the latest probe, if it was accepted and closed
+        // Latest failures of two different flows; one of them is not the flow in question.
+        std::array<failed_flow, 2> failed_flows{};
         std::uint32_t failures{};      // since the last answer
         std::uint32_t failed_probes{}; // consecutive
         time_point failing_since{};    // start of the first of them
@@ -100,9 +124,18 @@
     bool other_upstreams_answer(time_point now) const;
     bool is_silent(record const& r, time_point now) const;
     static bool reported_by_peer(record const& r, time_point now);
+    // Whether a report of another host is valid and not refuted by an answer.
+    bool is_reported(record const& r, time_point now) const;
+    // Whether failures or probes of this host make the upstream suspected.
+    bool is_suspected_here(record const& r, time_point now) const;
+    // Whether a suspicion that began at `t` and would otherwise last for `span` is kept because the
+    // view is stale.
+    bool is_kept(record const& r, time_point t, duration span) const;
+    bool stale_probe_due(record const& r, time_point now) const;
     static bool answered_since(record const& r, time_point t);
 
     std::unordered_map<std::uint32_t, record> records_;
+    time_point stale_since_{};
     time_point last_answer_{};         // of any upstream
     time_point first_failure_{};       // of any upstream since last_answer_
     std::uint64_t failed_upstreams_{}; // bit set of hashes, since last_answer_
