Add slow start of started or recovered upstreams

Cause: an upstream that has just started or recovered was either flooded or left idle too long; no fixed pace fits. Change: slow_start (admission) keeps a level per upstream, which begins with one request of one host, doubles with each round of good responses and halves after a slow or missing one. Placement asks it after the cold limit, for services named by fleet_state::slow_start_applies; while that is empty, placement is as before. Hosts of a zone exchange levels in element 15 of the heartbeat.

--- a/admission/admission.hpp
+++ b/admission/admission.hpp
@@ -6,6 +6,7 @@
 #include "admission/caller_share.hpp"
 #include "admission/capacity_admission.hpp"
 #include "admission/max_min_share.hpp"
+#include "admission/slow_start.hpp"
 // IWYU pragma: end_exports
 
 #endif
--- a/coordination/deployment_view.hpp
+++ b/coordination/deployment_view.hpp
@@ -92,6 +92,14 @@
     // when an upstream that was restarted at `since` had written its entry again.
     bool shows_restarts_since(time_point since, time_point now) const;
     duration idle_limit() const;
+    // Calls f(known_upstream const&) for the listed upstreams of a zone.
+    template<class F>
+    void for_each_in_zone(std::string const& zone, F f) const
+    {
+        for (auto const& [name, known] : by_name_)
+            if (known.listed && known.entry.zone == zone)
+                f(known);
+    }
     std::size_t upstream_count() const { return by_token_.size(); }
 
 private:
--- a/coordination/edge_router.cpp
+++ b/coordination/edge_router.cpp
@@ -51,6 +51,26 @@
     return now - view_.version().confirmed_at < recent_config_age;
 }
 
+bool edge_router::record_failure(flow_token upstream, time_point now)
+{
+    if (fleet_.recoveries != nullptr)
+        fleet_.recoveries->record_failure(upstream, now);
+    return health_.record_failure(upstream, now);
+}
+
+void edge_router::record_response(known_upstream const& u, duration response_time,
+                                  duration objective, time_point now)
+{
+    if (fleet_.recoveries != nullptr && fleet_.slow_start_applies &&
+        fleet_.slow_start_applies(u.entry.service))
+        fleet_.recoveries->record_response(
+            u.token, u.entry.service, response_time, objective,
+            fleet_.recoveries->active(u.token)
+                ? placement::recovery_of(u, place_.zone(), flows_, fleet_)
+                : slow_start_query{},
+            now);
+}
+
 packet_decision edge_router::forward_to(packet_decision d, flow_token token) const
 {
     known_upstream const* const u = view_.find(token);
@@ -113,7 +133,7 @@
     packet_decision d;
     d.flow = key;
     d.is_syn = true;
-    d.newly_suspected = health_.record_failure(flow.upstream, now);
+    d.newly_suspected = record_failure(flow.upstream, now);
     d.suspect = flow.upstream;
     route_entry const* const route = view_.route(key.destination);
     if (flow.open_attempts < max_open_attempts && route != nullptr)
@@ -240,14 +260,17 @@
         route_entry const* const route = view_.route(p.flow.destination);
         known_upstream const* const u = view_.find(flow.upstream);
         if (route != nullptr && u != nullptr)
+        {
             overload_.answered(u->entry.service, *d.seen.answer_time, route->latency_objective,
                                now);
+            record_response(*u, *d.seen.answer_time, route->latency_objective, now);
+        }
     }
     if (d.seen.answered)
         health_.record_answer(flow.upstream, now, flow.opened);
     else if (d.seen.retransmitted)
     {
-        d.newly_suspected = health_.record_failure(flow.upstream, now);
+        d.newly_suspected = record_failure(flow.upstream, now);
         d.suspect = flow.upstream;
     }
 }
@@ -266,7 +289,7 @@
             flow->first_sequence != pending.sequence)
             continue;
         if (pending.failure_reported_for != flow->upstream)
-            health_.record_failure(flow->upstream, now);
+            record_failure(flow->upstream, now);
         pending.failure_reported_for = flow->upstream;
         time_point next = now + pending_open_recheck;
         if (health_.fails_probes(flow->upstream))
--- a/coordination/edge_router.hpp
+++ b/coordination/edge_router.hpp
@@ -130,6 +130,10 @@
     void record_observation(packet_decision& d, flow_record& flow, caller_packet const& p,
                             time_point now);
     bool config_is_recent(time_point now) const;
+    // Both record a failure or an answer of the upstream with its health and its slow start.
+    bool record_failure(flow_token upstream, time_point now);
+    void record_response(known_upstream const& u, duration response_time, duration objective,
+                         time_point now);
 
     deployment_view& view_;
     flow_table& flows_;
--- a/coordination/placement.cpp
+++ b/coordination/placement.cpp
@@ -92,6 +92,26 @@
            !view.shows_restarts_since(returned, now);
 }
 
+slow_start_query placement::recovery_of(known_upstream const& u, std::string const& zone,
+                                        flow_table const& flows, fleet_state const& fleet)
+{
+    return {u.entry.slots,
+            flows.load(u.token).pending_requests,
+            fleet.zone_rank(u.token),
+            fleet.hosts_in_zone,
+            u.entry.zone == zone,
+            fleet.in_contact};
+}
+
+bool placement::slow_start_admits(candidate_search const& search, known_upstream const& u,
+                                  time_point now) const
+{
+    slow_start const* const recoveries = search.fleet.recoveries;
+    return !search.slow_starts || !recoveries->active(u.token) ||
+           recoveries->admits(u.token, recovery_of(u, settings_.zone, search.flows, search.fleet),
+                              now);
+}
+
 double placement::cost(known_upstream const& u, candidate_search const& search, bool cold,
                        bool reachable, time_point now) const
 {
@@ -135,6 +155,8 @@
         bool const cold = is_cold(*u, search.view, search.health, now);
         if (cold && !cold_upstream_admits(*u, search.view, search.fleet, now))
             continue;
+        if (!slow_start_admits(search, *u, now))
+            continue;
         double const candidate_cost = cost(*u, search, cold, reachable, now);
         bool const better = best.upstream.value == 0 || candidate_cost < best.cost - 1e-9;
         bool const tie = !better && std::abs(candidate_cost - best.cost) <= 1e-9;
@@ -155,7 +177,9 @@
                                    flow_table const& flows, upstream_health const& health,
                                    fleet_state const& fleet, time_point now)
 {
-    candidate_search search{request, view, flows, health, fleet, {}, 0};
+    bool const slow_starts = fleet.recoveries != nullptr && fleet.recoveries->active_count() > 0 &&
+                             fleet.slow_start_applies && fleet.slow_start_applies(request.service);
+    candidate_search search{request, view, flows, health, fleet, slow_starts, {}, 0};
     auto const& zones = view.upstreams_of(request.service);
     auto const local = zones.find(settings_.zone);
     if (local != zones.end())
--- a/coordination/placement.hpp
+++ b/coordination/placement.hpp
@@ -6,6 +6,7 @@
 #ifndef CHIVELEVER_COORDINATION_PLACEMENT_HPP
 #define CHIVELEVER_COORDINATION_PLACEMENT_HPP
 
+#include "admission/admission.hpp"
 #include "coordination/deployment_view.hpp"
 #include "coordination/flow_table.hpp"
 #include "coordination/upstream_health.hpp"
@@ -46,7 +47,12 @@
     // Position of this host among the hosts of its zone in an order that differs per upstream.
     std::function<std::size_t(flow_token)> zone_rank;
     std::size_t hosts_in_zone{1}; // hosts in this host's zone, itself included
-    bool settled{true};           // whether this host has had time to hear the hosts of its zone
+    // Whether upstreams of the service that have started or recovered are subject to slow start;
+    // empty: no service.
+    std::function<bool(std::string const& service)> slow_start_applies;
+    slow_start* recoveries{}; // upstreams in slow start; may be null
+    bool in_contact{true};    // other hosts are heard, or the zone has no others
+    bool settled{true};       // whether this host has had time to hear the hosts of its zone
 };
 
 struct placement_choice
@@ -74,6 +80,10 @@
     // failing its probes. It may then have been restarted although the entry does not show it yet.
     static bool is_cold(known_upstream const& u, deployment_view const& view,
                         upstream_health const& health, time_point now);
+    // What slow start needs to know of the upstream at this host.
+    static slow_start_query recovery_of(known_upstream const& u, std::string const& zone,
+                                        flow_table const& flows, fleet_state const& fleet);
+    std::string const& zone() const { return settings_.zone; }
 
 private:
     // New flows per second that this host may place on the cold upstream.
@@ -89,9 +99,12 @@
         flow_table const& flows;
         upstream_health const& health;
         fleet_state const& fleet;
+        bool slow_starts{}; // some upstreams of the service may be in slow start
         placement_choice best;
         std::uint32_t ties{};
     };
+    bool slow_start_admits(candidate_search const& search, known_upstream const& u,
+                           time_point now) const;
     void compare_zone(candidate_search& search, std::vector<flow_token> const& upstreams,
                       bool reachable, time_point now);
     double cost(known_upstream const& u, candidate_search const& search, bool cold, bool reachable,
--- a/edge/edge_host.cpp
+++ b/edge/edge_host.cpp
@@ -64,6 +64,7 @@
     { return peers_.zone_reachable(z, boot_time_now()); };
     fleet_.zone_rank = [this](flow_token t)
     { return peers_.rank_in_zone(t.value, boot_time_now()); };
+    fleet_.recoveries = &recoveries_;
     fleet_.settled = false;
 }
 
@@ -143,6 +144,8 @@
                    if (!view_.loaded())
                        spawn("fetch", fetch_view());
                    fleet_.hosts_in_zone = peers_.hosts_in_zone(now);
+                   fleet_.in_contact = fleet_.hosts_in_zone == 1 || peers_.has_contact(now);
+                   report_slow_starts(now);
                    fleet_.settled = now - started_ >= settling_time;
                    update_readiness(now);
                });
@@ -171,6 +174,8 @@
                    [this] { return static_cast<double>(flows_.size()); });
     metrics_.gauge("upstreams", "upstreams that are known",
                    [this] { return static_cast<double>(view_.upstream_count()); });
+    metrics_.gauge("upstreams_in_slow_start", "upstreams that have started or recovered",
+                   [this] { return static_cast<double>(recoveries_.active_count()); });
     metrics_.gauge("peers_heard", "other hosts that are heard",
                    [this] { return static_cast<double>(peers_.alive_count()); });
     metrics_.gauge("log_lines_dropped", "log lines that nobody read in time",
--- a/edge/edge_host.hpp
+++ b/edge/edge_host.hpp
@@ -74,6 +74,11 @@
     boost::asio::awaitable<bool> fetch_from(endpoint source, std::uint64_t as_of);
     void on_heartbeat(std::string_view bytes, endpoint source);
     peer_heartbeat make_heartbeat(time_point now) const;
+    // Slow start: begins it for upstreams that have changed, and processes another host's levels.
+    bool slow_start_applies(known_upstream const& u) const;
+    void start_recoveries(std::vector<view_change> const& changes, time_point now);
+    void record_recovering(peer_heartbeat const& heartbeat, time_point now);
+    void report_slow_starts(time_point now);
     std::vector<recovering_upstream> recovering_upstreams(time_point now) const;
     std::string encode_local_heartbeat(peer_heartbeat b, time_point now) const;
     void send_heartbeats();
@@ -116,6 +121,7 @@
     placement placement_;
     peer_exchange peers_;
     host_directory directory_;
+    slow_start recoveries_;
     fleet_state fleet_;
     overload_control overload_;
     edge_router router_;
--- a/edge/edge_packets.cpp
+++ b/edge/edge_packets.cpp
@@ -226,6 +226,8 @@
                        "\",connection=\"" + connection + "\"")++;
     known_upstream const* const u = view_.find(upstream);
     auto const resets = router_.probed(upstream, result, started, now);
+    if (result == probe_result::answered)
+        start_recoveries({}, now);
     if (!resets.empty())
         log::info("upstream.unreachable", {{"upstream", u != nullptr ? u->entry.name : ""},
                                            {"connection", connection},
--- a/edge/edge_sync.cpp
+++ b/edge/edge_sync.cpp
@@ -29,11 +29,6 @@
 // Older answers say nothing about a suspicion: the first probe began at most this long ago.
 constexpr duration max_refuting_answer_age = 300ms;
 
-// Upstreams are cold for some seconds; later returns are not reported.
-constexpr duration max_cold_report_age = 30s;
-// Bounds the size of a heartbeat after the crash of many upstreams.
-constexpr std::size_t max_recovering_upstreams = 16;
-
 std::uint32_t ms_since(time_point then, time_point now)
 {
     if (then == time_point{})
@@ -95,8 +90,12 @@
         platform::decode_upstreams(upstreams.items, upstreams.as_of, problems);
     report_findings(problems);
     std::vector<view_change> changes;
+    bool const first = !view_.loaded();
     bool const applied = view_.apply(o, u, read_at, boot_time_now(), changes);
     report_changes(applied, changes, "store", o.as_of);
+    // All upstreams are new to a host that has just started.
+    if (!first)
+        start_recoveries(changes, boot_time_now());
     announce();
     log::info("store.read", {{"as_of", std::to_string(o.as_of)},
                              {"upstreams", std::to_string(u.entries.size())},
@@ -263,8 +262,11 @@
     time_point const now = boot_time_now();
     v->view_age_ms += ms_since(requested_at, now);
     std::vector<view_change> changes;
+    bool const first = !view_.loaded();
     bool const applied = view_.apply(*v, now, changes);
     report_changes(applied, changes, to_string(source), v->operators.as_of);
+    if (!first)
+        start_recoveries(changes, now);
     bool const newer_meanwhile = view_.version().as_of > v->operators.as_of;
     co_return newer_meanwhile || (applied && view_.version().digest == v->digest);
 }
@@ -305,13 +307,7 @@
         health_.record_peer_suspicion(t, now);
     for (observed_answer const& a : heartbeat->observed_answers)
         health_.record_peer_answer(a.upstream, now - std::chrono::milliseconds(a.age_ms));
-    for (recovering_upstream const& r : heartbeat->recovering)
-    {
-        // A host of another zone may have been cut off from the upstream.
-        known_upstream const* const u = view_.find(r.upstream);
-        if (r.returned_ms && u != nullptr && u->entry.zone == heartbeat->sender.zone)
-            health_.record_peer_return(r.upstream, now - std::chrono::milliseconds(*r.returned_ms));
-    }
+    record_recovering(*heartbeat, now);
     answer_peer(*heartbeat, now);
     if (outcome.confirms)
         view_.confirm(heartbeat->as_of, outcome.confirmed_at, now);
@@ -349,21 +345,6 @@
     return b;
 }
 
-// Upstreams of this zone that have returned and may be in a cold start. Hosts of other zones need
-// them as well, since a cold upstream is used by the hosts of its own zone only.
-std::vector<recovering_upstream> edge_host::recovering_upstreams(time_point now) const
-{
-    std::vector<recovering_upstream> out;
-    for (auto const& [token, returned] : health_.returns_since(now - max_cold_report_age))
-    {
-        known_upstream const* const u = view_.find(token);
-        if (out.size() < max_recovering_upstreams && u != nullptr &&
-            u->entry.zone == settings_.zone && placement::is_cold(*u, view_, health_, now))
-            out.push_back({token, ms_since(returned, now)});
-    }
-    return out;
-}
-
 // Sends the state of this host to every other one: its start, a read of the store or its exit.
 void edge_host::announce()
 {
--- a/protocol/edge_codec.cpp
+++ b/protocol/edge_codec.cpp
@@ -181,15 +181,19 @@
 
 json::array encode_recovering(recovering_upstream const& r)
 {
-    return {r.upstream.value, r.returned_ms ? json::value(*r.returned_ms) : nullptr};
+    return {r.upstream.value, r.returned_ms ? json::value(*r.returned_ms) : nullptr,
+            r.started_ms ? json::value(*r.started_ms) : nullptr, r.level};
 }
 
 recovering_upstream decode_recovering(json::value const& v)
 {
     auto const& row = v.as_array();
-    recovering_upstream r{{number<std::uint32_t>(row.at(0))}, std::nullopt};
+    recovering_upstream r{{number<std::uint32_t>(row.at(0))}, std::nullopt, std::nullopt, 0};
     if (!row.at(1).is_null())
         r.returned_ms = number<std::uint32_t>(row.at(1));
+    if (!row.at(2).is_null())
+        r.started_ms = number<std::uint32_t>(row.at(2));
+    r.level = number<std::uint32_t>(row.at(3));
     return r;
 }
 
@@ -244,11 +248,11 @@
     for (recovering_upstream const& r : b.recovering)
         recovering.push_back(encode_recovering(r));
     json::value const store_era = nullptr; // element 14, reserved
-    return json::serialize(json::array{
-        heartbeat_layout_version, encode_peer(b.sender), b.leaving, b.as_of, b.digest,
-        b.config_version, b.view_age_ms, std::move(loads), std::move(suspects), std::move(hosts),
-        std::move(zones), std::move(answers), known_hosts, std::move(services),
-        store_era, std::move(recovering)});
+    return json::serialize(json::array{heartbeat_layout_version, encode_peer(b.sender), b.leaving,
+                                       b.as_of, b.digest, b.config_version, b.view_age_ms,
+                                       std::move(loads), std::move(suspects), std::move(hosts),
+                                       std::move(zones), std::move(answers), known_hosts,
+                                       std::move(services), store_era, std::move(recovering)});
 }
 
 std::optional<peer_heartbeat> decode_heartbeat(std::string_view bytes)
--- a/state/peer_messages.hpp
+++ b/state/peer_messages.hpp
@@ -83,11 +83,14 @@
     auto operator<=>(service_load const&) const = default;
 };
 
-// An upstream of the sender's zone that has come back after it failed its probes.
+// An upstream of the sender's zone that has come back after it failed its probes, or that is in
+// slow start.
 struct recovering_upstream
 {
     flow_token upstream;
     std::optional<std::uint32_t> returned_ms; // time since its return
+    std::optional<std::uint32_t> started_ms;  // time since the beginning of its slow start
+    std::uint32_t level{};                    // of the sender in this slow start
     auto operator<=>(recovering_upstream const&) const = default;
 };
 
--- a/tests/cold_return_test.cpp
+++ b/tests/cold_return_test.cpp
@@ -33,10 +33,9 @@
     int placed = 0;
     for (int i = 0; i < 100; ++i)
     {
-        placed += host.place
-                          .choose({desk, {}, false}, host.view, host.flows, host.health,
-                                  host.fleet, host.now)
-                          .upstream.value != 0
+        placed += host.place.choose({desk, {}, false}, host.view, host.flows, host.health,
+                                    host.fleet, host.now)
+                              .upstream.value != 0
                       ? 1
                       : 0;
         host.advance(10ms);
@@ -108,8 +107,9 @@
     edge_under_test host({make_upstream(1)});
     operator_listing operators = make_operators(30, 2);
     operators.config->services[0].cold_time = 20s;
-    auto const read = [&]
-    { host.view.apply(operators, {30, {make_upstream(1)}}, host.now, host.now, host.changes); };
+    auto const read = [&] {
+        host.view.apply(operators, {30, {make_upstream(1)}}, host.now, host.now, host.changes);
+    };
     auto const is_cold = [&]
     { return placement::is_cold(*host.view.find(only), host.view, host.health, host.now); };
     read();
--- a/tests/edge_support_test.cpp
+++ b/tests/edge_support_test.cpp
@@ -139,7 +139,7 @@
     b.known_hosts = 7;
     b.observed_zones = {{"wlg", 40}};
     b.observed_answers = {{{5}, 30}};
-    b.recovering = {{{5}, 300}, {{6}, std::nullopt}};
+    b.recovering = {{{5}, 300, std::nullopt, 0}, {{6}, std::nullopt, 1200, 4}};
     CHECK(decode_heartbeat(encode_heartbeat(b)) == b);
     // A host of an earlier version sends no elements after the first ten.
     auto const earlier = decode_heartbeat("[1,[10,\"akl\"],false,7,8,9,10,[],[],[]]");
