--- a/admission/admission.hpp
+++ b/admission/admission.hpp
@@ -7,6 +7,7 @@
 #include "admission/capacity_admission.hpp"
 #include "admission/capacity_share.hpp"
 #include "admission/max_min_share.hpp"
+#include "admission/slow_start.hpp"
 // IWYU pragma: end_exports
 
 #endif
