--- a/coordination/deployment_view.cpp
+++ b/coordination/deployment_view.cpp
@@ -89,7 +89,7 @@
     return true;
 }
 
-void deployment_view::complete_update(std::uint64_t as_of, time_point read_at, time_point now)
+void deployment_view::complete_update(store_position as_of, time_point read_at, time_point now)
 {
     as_of_ = as_of;
     confirmed_at_ = std::max(confirmed_at_, read_at);
@@ -97,7 +97,7 @@
     index_upstreams();
 }
 
-void deployment_view::confirm(std::uint64_t as_of, time_point read_at, time_point now)
+void deployment_view::confirm(store_position as_of, time_point read_at, time_point now)
 {
     if (as_of < as_of_)
         return;
@@ -251,7 +251,7 @@
     }
 }
 
-void deployment_view::mark_missing(known_upstream& known, std::uint64_t as_of, time_point now,
+void deployment_view::mark_missing(known_upstream& known, store_position as_of, time_point now,
                                    std::vector<view_change>& changes)
 {
     if (!known.listed)
@@ -381,11 +381,11 @@
     return config_ ? config_->idle_limit : duration{};
 }
 
-peer_view deployment_view::changes_since(std::uint64_t as_of, std::uint64_t config_version,
+peer_view deployment_view::changes_since(store_position as_of, std::uint64_t config_version,
                                          time_point now) const
 {
     peer_view out;
-    out.complete = as_of == 0;
+    out.complete = as_of == store_position{};
     out.digest = version().digest;
     auto const age_ms = std::max(duration{}, now - confirmed_at_) / std::chrono::milliseconds(1);
     out.view_age_ms = static_cast<std::uint32_t>(
--- a/coordination/deployment_view.hpp
+++ b/coordination/deployment_view.hpp
@@ -35,7 +35,7 @@
     bool listed{true};             // false: missing from the latest listing
     bool token_conflict{};         // an upstream with the same token that started earlier owns it
     time_point missing_since{};    // valid while not listed
-    std::uint64_t missing_as_of{}; // store revision of the first listing without it
+    store_position missing_as_of;  // position of the first listing without it
     time_point cold_until{};       // end of the cold start; zero if none
     bool operator==(known_upstream const&) const = default;
 };
@@ -43,7 +43,7 @@
 // The listing that a view is based on, and when it was last confirmed to be the newest.
 struct view_version
 {
-    std::uint64_t as_of{};  // revision of the store
+    store_position as_of;   // position in the store
     std::uint64_t digest{}; // of everything except revisions; equal contents have equal digests
     std::uint64_t config_version{};
     time_point confirmed_at{};
@@ -59,12 +59,12 @@
                time_point read_at, time_point now, std::vector<view_change>& changes);
     // Merges the view of another host.
     bool apply(peer_view const& view, time_point now, std::vector<view_change>& changes);
-    // The difference to a host whose view has this revision and configuration version; 0 selects
-    // the complete view.
-    peer_view changes_since(std::uint64_t as_of, std::uint64_t config_version,
+    // The difference to a host whose view has this position and configuration version; a position
+    // of 0 selects the complete view.
+    peer_view changes_since(store_position as_of, std::uint64_t config_version,
                             time_point now) const;
     // Records that another host has read the same contents at this or a later revision.
-    void confirm(std::uint64_t as_of, time_point read_at, time_point now);
+    void confirm(store_position as_of, time_point read_at, time_point now);
 
     bool loaded() const { return config_.has_value(); }
     // Whether a host that started at `started` should receive callers. Shortly after its start it
@@ -104,9 +104,9 @@
     std::optional<edge_config> merge_config(peer_view const& view) const;
     void apply_upstreams(upstream_listing const& listing, time_point read_at, time_point now,
                          std::vector<view_change>& changes);
-    void mark_missing(known_upstream& known, std::uint64_t as_of, time_point now,
+    void mark_missing(known_upstream& known, store_position as_of, time_point now,
                       std::vector<view_change>& changes);
-    void complete_update(std::uint64_t as_of, time_point read_at, time_point now);
+    void complete_update(store_position as_of, time_point read_at, time_point now);
     void update_upstream(known_upstream& known, upstream_entry const& entry, time_point read_at,
                          std::vector<view_change>& changes);
     void index_upstreams();
@@ -128,7 +128,7 @@
     std::unordered_map<std::uint32_t, known_upstream const*> by_token_;
     std::unordered_map<std::uint64_t, known_upstream const*> by_address_;
     std::map<std::string, zone_upstreams> by_service_;
-    std::uint64_t as_of_{};
+    store_position as_of_;
     std::uint64_t digest_{};
     time_point confirmed_at_{};
     time_point outage_recovery_until_{}; // expired entries stay usable until then
--- a/coordination/peer_exchange.cpp
+++ b/coordination/peer_exchange.cpp
@@ -290,11 +290,11 @@
     std::map<std::string_view, bool> reachable;
     for (auto const& [zone, heard] : zone_heard_)
         reachable[zone] = zone_reachable(zone, now);
-    std::uint64_t const mine = hash_pair(own.as_of, self_.ip);
+    std::uint64_t const mine = hash_pair(own.as_of.revision, self_.ip);
     auto const rank = std::ranges::count_if(peers_,
                                             [&](auto const& item)
                                             {
-                                                return hash_pair(own.as_of, item.first) < mine &&
+                                                return hash_pair(own.as_of.revision, item.first) < mine &&
                                                        is_alive(item.second, now) &&
                                                        reachable[item.second.zone];
                                             });
--- a/edge/edge_host.hpp
+++ b/edge/edge_host.hpp
@@ -59,7 +59,7 @@
     struct section_result
     {
         std::vector<platform::stored_item> items;
-        std::uint64_t as_of{};
+        store_position as_of;
         std::string failure;
     };
     boost::asio::awaitable<section_result> read_section(http_connection& connection,
@@ -70,8 +70,8 @@
     boost::asio::awaitable<bool> read_directory(http_connection& connection);
     boost::asio::awaitable<void> fetch_view();
     void report_changes(bool applied, std::vector<view_change> const& changes,
-                        std::string const& source, std::uint64_t as_of);
-    boost::asio::awaitable<bool> fetch_from(endpoint source, std::uint64_t as_of);
+                        std::string const& source, store_position as_of);
+    boost::asio::awaitable<bool> fetch_from(endpoint source, store_position as_of);
     void on_heartbeat(std::string_view bytes, endpoint source);
     peer_heartbeat make_heartbeat(time_point now) const;
     std::string encode_local_heartbeat(peer_heartbeat b, time_point now) const;
--- a/edge/edge_sync.cpp
+++ b/edge/edge_sync.cpp
@@ -93,7 +93,7 @@
     bool const applied = view_.apply(o, u, read_at, boot_time_now(), changes);
     report_changes(applied, changes, "store", o.as_of);
     announce();
-    log::info("store.read", {{"as_of", std::to_string(o.as_of)},
+    log::info("store.read", {{"as_of", std::to_string(o.as_of.revision)},
                              {"upstreams", std::to_string(u.entries.size())},
                              {"hosts", std::to_string(peers_.alive_count() + 1)},
                              {"took_ms", std::to_string(ms_since(read_at, boot_time_now()))}});
@@ -229,7 +229,7 @@
     endpoint const from{chosen.value_or(*source), settings_.peer_port};
     // Fetches the changes only; if the views differ afterwards, they had diverged before, and the
     // whole view is fetched.
-    bool const same = co_await fetch_from(from, view_.loaded() ? view_.version().as_of : 0);
+    bool const same = co_await fetch_from(from, view_.loaded() ? view_.version().as_of : store_position{});
     if (!same)
         co_await fetch_from(from, 0);
     if (view_.version().as_of > own.as_of)
@@ -239,17 +239,17 @@
 // Fetches the changes since `as_of`, or the whole view if it is 0. Returns false if the whole view
 // must be fetched: the received changes were not applied, or the resulting view differs from the
 // one of the source. Returns true also if the fetch failed, or if the own view is newer by now.
-asio::awaitable<bool> edge_host::fetch_from(endpoint source, std::uint64_t as_of)
+asio::awaitable<bool> edge_host::fetch_from(endpoint source, store_position as_of)
 {
     http_connection connection(io_, source);
-    std::uint64_t const config = as_of == 0 ? 0 : view_.version().config_version;
+    std::uint64_t const config = as_of == store_position{} ? 0 : view_.version().config_version;
     std::string const target = std::string(view_path) + "?" + encode_view_query({as_of, config});
     time_point const requested_at = boot_time_now();
     auto const reply = co_await connection.call("GET", target, "", fetch_timeout);
     auto v = reply && reply->status == http_ok ? decode_view(reply->body) : std::nullopt;
     metrics_.count("view_fetches_total", "views fetched from other hosts",
                    std::string("outcome=\"") + (v ? "done" : "failed") + "\",whole=\"" +
-                       (as_of == 0 ? "yes" : "no") + "\"")++;
+                       (as_of == store_position{} ? "yes" : "no") + "\"")++;
     if (!v)
     {
         log::warning("view.fetch_failed", {{"from", to_string(source)}});
@@ -265,19 +265,19 @@
 }
 
 void edge_host::report_changes(bool applied, std::vector<view_change> const& changes,
-                               std::string const& source, std::uint64_t as_of)
+                               std::string const& source, store_position as_of)
 {
     time_point const now = boot_time_now();
     view_version const own = view_.version();
     if (!applied)
         log::info("view.older", {{"source", source},
-                                 {"as_of", std::to_string(as_of)},
-                                 {"own_as_of", std::to_string(own.as_of)}});
+                                 {"as_of", std::to_string(as_of.revision)},
+                                 {"own_as_of", std::to_string(own.as_of.revision)}});
     for (view_change const& c : changes)
         log::info(c.kind, {{"subject", c.subject},
                            {"detail", c.detail},
                            {"source", source},
-                           {"as_of", std::to_string(as_of)},
+                           {"as_of", std::to_string(as_of.revision)},
                            {"age_ms", std::to_string(ms_since(own.confirmed_at, now))}});
     update_readiness(now);
 }
--- a/protocol/edge_codec.cpp
+++ b/protocol/edge_codec.cpp
@@ -60,7 +60,7 @@
 json::array encode_upstream(upstream_entry const& e)
 {
     return {e.name,  e.datagram_address, e.address.packed(), e.service,         e.zone,
-            e.slots, e.draining,         e.cold_left_ms,     e.started_unix_ms, e.revision};
+            e.slots, e.draining,         e.cold_left_ms,     e.started_unix_ms, e.revision.revision};
 }
 
 upstream_entry decode_upstream(json::value const& v)
@@ -227,7 +227,7 @@
     for (service_load const& l : b.service_loads)
         services.push_back(encode_service_load(l));
     return json::serialize(json::array{
-        heartbeat_layout_version, encode_peer(b.sender), b.leaving, b.as_of, b.digest,
+        heartbeat_layout_version, encode_peer(b.sender), b.leaving, b.as_of.revision, b.digest,
         b.config_version, b.view_age_ms, std::move(loads), std::move(suspects), std::move(hosts),
         std::move(zones), std::move(answers), known_hosts, std::move(services)});
 }
@@ -276,13 +276,13 @@
 
 std::string encode_view_query(view_base const& b)
 {
-    return "as_of=" + std::to_string(b.as_of) + "&config=" + std::to_string(b.config_version);
+    return "as_of=" + std::to_string(b.as_of.revision) + "&config=" + std::to_string(b.config_version);
 }
 
 view_base decode_view_query(std::string const& query)
 {
     view_base b;
-    int const read = std::sscanf(query.c_str(), "as_of=%" SCNu64 "&config=%" SCNu64, &b.as_of,
+    int const read = std::sscanf(query.c_str(), "as_of=%" SCNu64 "&config=%" SCNu64, &b.as_of.revision,
                                  &b.config_version);
     return read == 2 ? b : view_base{};
 }
@@ -302,8 +302,8 @@
     for (std::string const& name : v.removed)
         removed.push_back(json::string(name));
     return json::serialize(json::array{
-        view_layout_version, v.view_age_ms, v.operators.as_of, encode_config(v.operators.config),
-        std::move(zones), v.upstreams.as_of, std::move(upstreams), v.complete, v.digest,
+        view_layout_version, v.view_age_ms, v.operators.as_of.revision, encode_config(v.operators.config),
+        std::move(zones), v.upstreams.as_of.revision, std::move(upstreams), v.complete, v.digest,
         std::move(removed), v.config_base, std::move(dropped)});
 }
 
--- a/protocol/edge_codec.hpp
+++ b/protocol/edge_codec.hpp
@@ -19,7 +19,7 @@
 // The view that a requesting host already has; 0 means none.
 struct view_base
 {
-    std::uint64_t as_of{};
+    store_position as_of;
     std::uint64_t config_version{};
     auto operator<=>(view_base const&) const = default;
 };
--- a/state/edge_types.hpp
+++ b/state/edge_types.hpp
@@ -4,6 +4,7 @@
 #define CHIVELEVER_STATE_EDGE_TYPES_HPP
 
 #include "state/ids.hpp"
+#include "state/store_position.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -37,7 +38,7 @@
     bool draining{};
     std::uint32_t cold_left_ms{}; // remaining cold-start time when the entry was written
     std::int64_t started_unix_ms{};
-    std::uint64_t revision{}; // store revision at which the entry was written
+    store_position revision; // at which the entry was written
     bool operator==(upstream_entry const&) const = default;
 };
 
@@ -80,16 +81,16 @@
 // Data written by operators: the configuration and the evacuated zones.
 struct operator_listing
 {
-    std::uint64_t as_of{}; // store revision of this listing
+    store_position as_of; // of this listing
     std::optional<edge_config> config;
     std::set<std::string> evacuated_zones;
     bool operator==(operator_listing const&) const = default;
 };
 
-// All upstream entries at one store revision.
+// All upstream entries at one position in the store.
 struct upstream_listing
 {
-    std::uint64_t as_of{};
+    store_position as_of;
     std::vector<upstream_entry> entries;
     bool operator==(upstream_listing const&) const = default;
 };
--- a/state/peer_messages.hpp
+++ b/state/peer_messages.hpp
@@ -89,7 +89,7 @@
 {
     peer_address sender;
     bool leaving{};                 // the sender is shutting down
-    std::uint64_t as_of{};          // store revision of the sender's view
+    store_position as_of;           // of the sender's view
     std::uint64_t digest{};         // hash of the contents of the view
     std::uint64_t config_version{}; // 0: no configuration loaded yet
     std::uint32_t view_age_ms{};    // time since the view was known to be current
--- a/state/state.hpp
+++ b/state/state.hpp
@@ -20,6 +20,7 @@
 #include "state/published.hpp"
 #include "state/routing_table.hpp"
 #include "state/shard.hpp"
+#include "state/store_position.hpp"
 // IWYU pragma: end_exports
 
 #endif
--- a/tests/edge_fixture.hpp
+++ b/tests/edge_fixture.hpp
@@ -33,7 +33,7 @@
     return e;
 }
 
-inline operator_listing make_operators(std::uint64_t as_of, std::uint64_t version,
+inline operator_listing make_operators(store_position as_of, std::uint64_t version,
                                        std::vector<endpoint> const& routes = {desk_route})
 {
     edge_config c;
