Compare positions in the store by era and revision

Cause: after a restore of the store from an older backup, revisions go back. Hosts ignored drains, evacuations and configurations until the revisions had caught up.

Change: a position is compared as the pair (era, revision). The era comes from the header Store-Era of each page and is appended to heartbeats, view queries and views; hosts of earlier versions still read them, and a missing era means 0. A new era starts a recovery time of 2.4 s, as after an outage: missing entries stay usable, and evacuations, drains and later starts known before stay in force.

--- a/coordination/deployment_view.cpp
+++ b/coordination/deployment_view.cpp
@@ -11,15 +11,6 @@
 
 using namespace std::chrono_literals;
 
-// The store counts as unreachable, and entries may have expired, when no read has succeeded for
-// this long. One of the hosts reads 0.8 s plus a random delay after the last read
-// (peer_exchange.cpp); an entry expires after three check-in intervals, which take 2.3 s.
-constexpr duration outage_threshold = 1500ms;
-// Expired entries are rewritten within about two seconds after the store returns.
-constexpr duration outage_recovery_time = 2400ms;
-// An upstream that is missing for this long while the store is readable has terminated; a live one
-// would have rewritten its entry several times.
-constexpr duration removal_timeout = 5s;
 // How long a host that has started waits for a recent view. If neither the store nor any other host
 // has given it one by then, it serves by the one that it has.
 constexpr duration recent_view_wait = 1s;
@@ -41,8 +32,11 @@
 
 bool deployment_view::may_apply(operator_listing const& operators) const
 {
-    bool const reverts =
-        config_ && operators.config && operators.config->version < config_->version;
+    // A restored store lists an older configuration until the operators have written the current
+    // one again; the rest of its listing is valid.
+    bool const reverts = config_ && operators.config &&
+                         operators.config->version < config_->version &&
+                         operators.as_of.era <= config_era_;
     return operators.as_of >= as_of_ && !reverts;
 }
 
@@ -51,22 +45,38 @@
 {
     if (!may_apply(operators))
         return false;
+    apply_listing(operators, upstreams, read_at, now, changes);
+    if (operators.config && operators.config->version == config_->version)
+        config_era_ = operators.as_of.era;
+    return true;
+}
+
+void deployment_view::apply_listing(operator_listing const& operators,
+                                    upstream_listing const& upstreams, time_point read_at,
+                                    time_point now, std::vector<view_change>& changes)
+{
+    detect_era_change(operators.as_of, now, changes);
     detect_outage(now, changes);
     if (operators.config && (!config_ || operators.config->version > config_->version))
         apply_config(*operators.config, changes);
     apply_zones(operators.evacuated_zones, changes);
     apply_upstreams(upstreams, read_at, now, changes);
-    complete_update(operators.as_of, read_at, now);
-    return true;
+    complete_update(operators.as_of, read_at, now, changes);
 }
 
 bool deployment_view::apply(peer_view const& view, time_point now,
                             std::vector<view_change>& changes)
 {
     time_point const read_at = now - std::chrono::milliseconds(view.view_age_ms);
+    if (!may_apply(view.operators))
+        return false;
     if (view.complete)
-        return apply(view.operators, view.upstreams, read_at, now, changes);
-    if (!may_apply(view.operators) || !config_)
+    {
+        apply_listing(view.operators, view.upstreams, read_at, now, changes);
+        return true;
+    }
+    // Positions of different eras do not show which entries have changed between them.
+    if (!config_ || view.operators.as_of.era != as_of_.era)
         return false;
     if (view.operators.config && view.operators.config->version > config_->version)
     {
@@ -78,28 +88,31 @@
     detect_outage(now, changes);
     apply_zones(view.operators.evacuated_zones, changes);
     for (upstream_entry const& e : view.upstreams.entries)
-        update_upstream(by_name_[e.name], e, read_at, changes);
+        update_upstream(by_name_[e.name], e, read_at, now, changes);
     for (std::string const& name : view.removed)
     {
         auto const it = by_name_.find(name);
         if (it != by_name_.end() && it->second.entry.revision <= view.operators.as_of)
             mark_missing(it->second, view.operators.as_of, now, changes);
     }
-    complete_update(view.operators.as_of, read_at, now);
+    complete_update(view.operators.as_of, read_at, now, changes);
     return true;
 }
 
-void deployment_view::complete_update(store_position as_of, time_point read_at, time_point now)
+void deployment_view::complete_update(store_position as_of, time_point read_at, time_point now,
+                                      std::vector<view_change>& changes)
 {
     as_of_ = as_of;
     confirmed_at_ = std::max(confirmed_at_, read_at);
+    release_kept_zones(now, changes);
     remove_expired(now);
     index_upstreams();
 }
 
 void deployment_view::confirm(store_position as_of, time_point read_at, time_point now)
 {
-    if (as_of < as_of_)
+    // The positions of the entries change with the era, so they must be read or fetched.
+    if (as_of < as_of_ || as_of.era != as_of_.era)
         return;
     std::vector<view_change> unused;
     detect_outage(now, unused);
@@ -107,17 +120,6 @@
     confirmed_at_ = std::max(confirmed_at_, read_at);
 }
 
-void deployment_view::detect_outage(time_point now, std::vector<view_change>& changes)
-{
-    if (confirmed_at_ == time_point{} || now - confirmed_at_ < outage_threshold)
-        return;
-    outage_began_ = confirmed_at_;
-    outage_recovery_until_ = now + outage_recovery_time;
-    changes.push_back(
-        {"store.returned", "store",
-         "gap_ms=" + std::to_string((now - confirmed_at_) / std::chrono::milliseconds(1))});
-}
-
 void deployment_view::apply_config(edge_config const& config, std::vector<view_change>& changes)
 {
     changes.push_back({"config.applied", std::to_string(config.version),
@@ -204,19 +206,27 @@
     for (std::string const& z : zones)
         if (!evacuated_.contains(z))
             changes.push_back({"zone.evacuated", z, ""});
+    for (std::string const& z : zones)
+        kept_zones_.erase(z);
     for (std::string const& z : evacuated_)
-        if (!zones.contains(z))
+        if (!zones.contains(z) && !kept_zones_.contains(z))
             changes.push_back({"zone.returned", z, ""});
     evacuated_ = zones;
 }
 
 void deployment_view::update_upstream(known_upstream& known, upstream_entry const& entry,
-                                      time_point read_at, std::vector<view_change>& changes)
+                                      time_point read_at, time_point now,
+                                      std::vector<view_change>& changes)
 {
     bool const is_new = known.entry.name.empty();
     bool const restarted = !is_new && known.entry.started_unix_ms != entry.started_unix_ms;
     if (!is_new && entry.revision < known.entry.revision)
         return;
+    if (!is_new && is_outdated(known, entry, now))
+    {
+        known.entry.revision = entry.revision;
+        return;
+    }
     if (is_new || restarted)
         changes.push_back({restarted ? "upstream.restarted" : "upstream.listed", entry.name,
                            "service=" + entry.service + " zone=" + entry.zone +
@@ -226,10 +236,14 @@
         changes.push_back({"upstream.back", entry.name, ""});
     if (entry.draining && (is_new || !known.entry.draining))
         changes.push_back({"upstream.draining", entry.name, ""});
-    if (is_new || restarted || entry.revision > known.entry.revision)
+    // An entry of the backup may be older than the known one and show more time than is left.
+    bool const same_era = entry.revision.era == known.entry.revision.era;
+    if (is_new || restarted || (same_era && entry.revision > known.entry.revision))
         known.cold_until = entry.cold_left_ms == 0
                                ? time_point{}
                                : read_at + std::chrono::milliseconds(entry.cold_left_ms);
+    if (!is_new)
+        keep_draining(known, entry, now);
     known.entry = entry;
     known.token = make_flow_token(entry.name);
     known.listed = true;
@@ -242,7 +256,7 @@
     for (upstream_entry const& e : listing.entries)
     {
         listed_names.insert(e.name);
-        update_upstream(by_name_[e.name], e, read_at, changes);
+        update_upstream(by_name_[e.name], e, read_at, now, changes);
     }
     for (auto& [name, known] : by_name_)
     {
@@ -349,33 +363,6 @@
     return it == by_token_.end() ? nullptr : it->second;
 }
 
-bool deployment_view::evacuated(std::string const& zone) const
-{
-    return evacuated_.contains(zone);
-}
-
-bool deployment_view::accepts_new_flows(known_upstream const& u, time_point now) const
-{
-    if (u.entry.draining || u.token_conflict || evacuated_.contains(u.entry.zone))
-        return false;
-    if (u.listed)
-        return true;
-    // The entry may have expired during an outage that has just ended.
-    return now < outage_recovery_until_ && u.missing_since > outage_began_;
-}
-
-bool deployment_view::is_terminated(known_upstream const& u, time_point now) const
-{
-    if (u.listed)
-        return false;
-    auto const owner = by_address_.find(u.entry.address.packed());
-    if (owner != by_address_.end() &&
-        owner->second->entry.datagram_address != u.entry.datagram_address)
-        return true;
-    return now >= outage_recovery_until_ && now - confirmed_at_ < outage_threshold &&
-           now - u.missing_since > removal_timeout;
-}
-
 duration deployment_view::idle_limit() const
 {
     return config_ ? config_->idle_limit : duration{};
@@ -385,13 +372,14 @@
                                          time_point now) const
 {
     peer_view out;
-    out.complete = as_of == store_position{};
+    bool const lacks_everything = as_of == store_position{};
+    out.complete = lacks_everything || as_of.era != as_of_.era;
     out.digest = version().digest;
     auto const age_ms = std::max(duration{}, now - confirmed_at_) / std::chrono::milliseconds(1);
     out.view_age_ms = static_cast<std::uint32_t>(
         std::min<std::int64_t>(age_ms, std::numeric_limits<std::uint32_t>::max()));
     out.operators = {as_of_, std::nullopt, evacuated_};
-    bool const lacks_config = config_ && (out.complete || config_->version > config_version);
+    bool const lacks_config = config_ && (lacks_everything || config_->version > config_version);
     if (lacks_config && (out.complete || !config_difference(config_version, out)))
         out.operators.config = config_;
     out.upstreams.as_of = as_of_;
--- a/coordination/deployment_view.hpp
+++ b/coordination/deployment_view.hpp
@@ -2,7 +2,8 @@
 // other hosts. Handles three failures: the store refuses this host, which then gets the data from
 // other hosts; a stale listing arrives after a newer one and is discarded; entries expire while the
 // store is down although their upstreams still serve, and stay usable until the upstreams have had
-// time to rewrite them.
+// time to rewrite them. The same holds after a restore of the store from an older backup, which
+// starts a new era (view_recovery.cpp, docs/design/store-restore.md).
 #ifndef CHIVELEVER_COORDINATION_DEPLOYMENT_VIEW_HPP
 #define CHIVELEVER_COORDINATION_DEPLOYMENT_VIEW_HPP
 
@@ -19,6 +20,11 @@
 namespace chivelever
 {
 
+// The store counts as unreachable, and entries may have expired, when no read has succeeded for
+// this long. One of the hosts reads 0.8 s plus a random delay after the last read
+// (peer_exchange.cpp); an entry expires after three check-in intervals, which take 2.3 s.
+inline constexpr duration outage_threshold = std::chrono::milliseconds(1500);
+
 // A change of the view, for logs and the timeline.
 struct view_change
 {
@@ -32,11 +38,13 @@
 {
     upstream_entry entry;
     flow_token token;
-    bool listed{true};             // false: missing from the latest listing
-    bool token_conflict{};         // an upstream with the same token that started earlier owns it
-    time_point missing_since{};    // valid while not listed
-    store_position missing_as_of;  // position of the first listing without it
-    time_point cold_until{};       // end of the cold start; zero if none
+    bool listed{true};            // false: missing from the latest listing
+    bool token_conflict{};        // an upstream with the same token that started earlier owns it
+    time_point missing_since{};   // valid while not listed
+    store_position missing_as_of; // position of the first listing without it
+    time_point cold_until{};      // end of the cold start; zero if none
+    // It was draining before a restore of the store whose listing shows it as ready.
+    time_point draining_until{};
     bool operator==(known_upstream const&) const = default;
 };
 
@@ -95,6 +103,8 @@
     void apply_config(edge_config const& config, std::vector<view_change>& changes);
     void apply_zones(std::set<std::string> const& zones, std::vector<view_change>& changes);
     bool may_apply(operator_listing const& operators) const;
+    void apply_listing(operator_listing const& operators, upstream_listing const& upstreams,
+                       time_point read_at, time_point now, std::vector<view_change>& changes);
     void record_config_step(edge_config const& next);
     // Expresses the current configuration as a difference from version `base`, if the steps since
     // then are still stored.
@@ -106,11 +116,20 @@
                          std::vector<view_change>& changes);
     void mark_missing(known_upstream& known, store_position as_of, time_point now,
                       std::vector<view_change>& changes);
-    void complete_update(store_position as_of, time_point read_at, time_point now);
-    void update_upstream(known_upstream& known, upstream_entry const& entry, time_point read_at,
+    void complete_update(store_position as_of, time_point read_at, time_point now,
                          std::vector<view_change>& changes);
+    void update_upstream(known_upstream& known, upstream_entry const& entry, time_point read_at,
+                         time_point now, std::vector<view_change>& changes);
     void index_upstreams();
     void detect_outage(time_point now, std::vector<view_change>& changes);
+    // Starts the recovery time if the position is of a later era than the view.
+    void detect_era_change(store_position as_of, time_point now, std::vector<view_change>& changes);
+    // Whether the entry is of an earlier start of the upstream than the one known before the
+    // restore.
+    bool is_outdated(known_upstream const& known, upstream_entry const& entry,
+                     time_point now) const;
+    void keep_draining(known_upstream& known, upstream_entry const& entry, time_point now) const;
+    void release_kept_zones(time_point now, std::vector<view_change>& changes);
     void remove_expired(time_point now);
 
     std::optional<edge_config> config_;
@@ -123,16 +142,19 @@
         std::vector<endpoint> changed_destinations; // destinations added, changed or removed
     };
     std::deque<config_step> config_steps_; // oldest first, up to the current version
-    std::set<std::string> evacuated_;
+    std::set<std::string> evacuated_;      // as listed
+    std::set<std::string> kept_zones_; // evacuated before the restore, and not listed since then
     std::map<std::string, known_upstream> by_name_;
     std::unordered_map<std::uint32_t, known_upstream const*> by_token_;
     std::unordered_map<std::uint64_t, known_upstream const*> by_address_;
     std::map<std::string, zone_upstreams> by_service_;
     store_position as_of_;
+    std::uint64_t config_era_{}; // latest era in which the store itself listed the configuration
     std::uint64_t digest_{};
     time_point confirmed_at_{};
     time_point outage_recovery_until_{}; // expired entries stay usable until then
     time_point outage_began_{};          // last confirmation before the latest outage
+    time_point era_recovery_until_{};    // end of the recovery time after a restore
 };
 
 } // namespace chivelever
--- a/coordination/peer_exchange.cpp
+++ b/coordination/peer_exchange.cpp
@@ -169,10 +169,13 @@
     // A reading that is relayed seems to be younger by its time on the way. At the same revision it
     // counts as another reading only if it is clearly younger.
     duration const margin = b.as_of == own.as_of ? same_revision_margin : duration{};
-    out.confirms =
-        same_contents && b.as_of >= own.as_of && p.view_confirmed_at > own.confirmed_at + margin;
-    out.newer =
-        !same_contents && b.config_version != 0 && (b.as_of > own.as_of || own.config_version == 0);
+    // The positions of the entries change with the era, so a view of a later era is fetched even if
+    // its contents are the same.
+    bool const later_era = b.as_of.era > own.as_of.era;
+    out.confirms = same_contents && !later_era && b.as_of >= own.as_of &&
+                   p.view_confirmed_at > own.confirmed_at + margin;
+    out.newer = (!same_contents || later_era) && b.config_version != 0 &&
+                (b.as_of > own.as_of || own.config_version == 0);
     bool const same_zone = p.zone == self_.zone;
     for (observed_host const& o : b.observed_hosts)
         observe(o, now);
@@ -352,11 +355,13 @@
     std::vector<std::uint32_t> newer;
     for (auto const& [ip, p] : peers_)
     {
-        bool const differs =
-            p.view.digest != own.digest || p.view.config_version != own.config_version;
+        // A restored store may list an older configuration for a few seconds.
+        bool const later_era = p.view.as_of.era > own.as_of.era;
+        bool const differs = later_era || p.view.digest != own.digest ||
+                             p.view.config_version != own.config_version;
         if (p.last_heard != time_point{} && now - p.last_heard < local_alive_timeout &&
             is_alive(p, now) && p.view.config_version != 0 &&
-            p.view.config_version >= own.config_version && differs &&
+            (later_era || p.view.config_version >= own.config_version) && differs &&
             (p.view.as_of > own.as_of || own.config_version == 0))
             newer.push_back(ip);
     }
--- a/protocol/edge_codec.cpp
+++ b/protocol/edge_codec.cpp
@@ -59,11 +59,11 @@
 
 json::array encode_upstream(upstream_entry const& e)
 {
-    return {e.name,  e.datagram_address, e.address.packed(), e.service,         e.zone,
-            e.slots, e.draining,         e.cold_left_ms,     e.started_unix_ms, e.revision.revision};
+    return {e.name,     e.datagram_address, e.address.packed(), e.service,          e.zone, e.slots,
+            e.draining, e.cold_left_ms,     e.started_unix_ms,  e.revision.revision};
 }
 
-upstream_entry decode_upstream(json::value const& v)
+upstream_entry decode_upstream(json::value const& v, std::uint64_t era)
 {
     auto const& row = v.as_array();
     upstream_entry e;
@@ -76,7 +76,7 @@
     e.draining = row.at(6).as_bool();
     e.cold_left_ms = number<std::uint32_t>(row.at(7));
     e.started_unix_ms = number<std::int64_t>(row.at(8));
-    e.revision = number<std::uint64_t>(row.at(9));
+    e.revision = {era, number<std::uint64_t>(row.at(9))};
     return e;
 }
 
@@ -229,7 +229,7 @@
     return json::serialize(json::array{
         heartbeat_layout_version, encode_peer(b.sender), b.leaving, b.as_of.revision, b.digest,
         b.config_version, b.view_age_ms, std::move(loads), std::move(suspects), std::move(hosts),
-        std::move(zones), std::move(answers), known_hosts, std::move(services)});
+        std::move(zones), std::move(answers), known_hosts, std::move(services), b.as_of.era});
 }
 
 std::optional<peer_heartbeat> decode_heartbeat(std::string_view bytes)
@@ -244,7 +244,7 @@
             peer_heartbeat b;
             b.sender = decode_peer(row.at(1));
             b.leaving = row.at(2).as_bool();
-            b.as_of = number<std::uint64_t>(row.at(3));
+            b.as_of.revision = number<std::uint64_t>(row.at(3));
             b.digest = number<std::uint64_t>(row.at(4));
             b.config_version = number<std::uint64_t>(row.at(5));
             b.view_age_ms = number<std::uint32_t>(row.at(6));
@@ -270,21 +270,24 @@
             if (row.size() > 13)
                 for (json::value const& l : row.at(13).as_array())
                     b.service_loads.push_back(decode_service_load(l));
+            if (row.size() > 14)
+                b.as_of.era = number<std::uint64_t>(row.at(14));
             return b;
         });
 }
 
 std::string encode_view_query(view_base const& b)
 {
-    return "as_of=" + std::to_string(b.as_of.revision) + "&config=" + std::to_string(b.config_version);
+    return "as_of=" + std::to_string(b.as_of.revision) +
+           "&config=" + std::to_string(b.config_version) + "&era=" + std::to_string(b.as_of.era);
 }
 
 view_base decode_view_query(std::string const& query)
 {
     view_base b;
-    int const read = std::sscanf(query.c_str(), "as_of=%" SCNu64 "&config=%" SCNu64, &b.as_of.revision,
-                                 &b.config_version);
-    return read == 2 ? b : view_base{};
+    int const read = std::sscanf(query.c_str(), "as_of=%" SCNu64 "&config=%" SCNu64 "&era=%" SCNu64,
+                                 &b.as_of.revision, &b.config_version, &b.as_of.era);
+    return read >= 2 ? b : view_base{};
 }
 
 std::string encode_view(peer_view const& v)
@@ -301,10 +304,11 @@
     json::array removed;
     for (std::string const& name : v.removed)
         removed.push_back(json::string(name));
-    return json::serialize(json::array{
-        view_layout_version, v.view_age_ms, v.operators.as_of.revision, encode_config(v.operators.config),
-        std::move(zones), v.upstreams.as_of.revision, std::move(upstreams), v.complete, v.digest,
-        std::move(removed), v.config_base, std::move(dropped)});
+    return json::serialize(
+        json::array{view_layout_version, v.view_age_ms, v.operators.as_of.revision,
+                    encode_config(v.operators.config), std::move(zones), v.upstreams.as_of.revision,
+                    std::move(upstreams), v.complete, v.digest, std::move(removed), v.config_base,
+                    std::move(dropped), v.operators.as_of.era});
 }
 
 std::optional<peer_view> decode_view(std::string_view bytes)
@@ -318,13 +322,15 @@
                 throw std::out_of_range("unknown layout version");
             peer_view out;
             out.view_age_ms = std::min(number<std::uint32_t>(row.at(1)), max_view_age_ms);
-            out.operators.as_of = number<std::uint64_t>(row.at(2));
+            // Hosts of earlier versions send no era. All listed entries are of the view's era.
+            std::uint64_t const era = row.size() > 12 ? number<std::uint64_t>(row.at(12)) : 0;
+            out.operators.as_of = {era, number<std::uint64_t>(row.at(2))};
             out.operators.config = decode_config(row.at(3));
             for (json::value const& z : row.at(4).as_array())
                 out.operators.evacuated_zones.insert(text(z));
-            out.upstreams.as_of = number<std::uint64_t>(row.at(5));
+            out.upstreams.as_of = {era, number<std::uint64_t>(row.at(5))};
             for (json::value const& e : row.at(6).as_array())
-                out.upstreams.entries.push_back(decode_upstream(e));
+                out.upstreams.entries.push_back(decode_upstream(e, era));
             out.complete = row.at(7).as_bool();
             out.digest = number<std::uint64_t>(row.at(8));
             for (json::value const& name : row.at(9).as_array())
--- a/protocol/edge_codec.hpp
+++ b/protocol/edge_codec.hpp
@@ -24,7 +24,8 @@
     auto operator<=>(view_base const&) const = default;
 };
 std::string encode_view_query(view_base const& b);
-// A malformed query is read as a request for the complete view.
+// A query without an era, from a host of an earlier version, means era 0. A malformed query is read
+// as a request for the complete view.
 view_base decode_view_query(std::string const& query);
 
 std::string encode_view(peer_view const& v);
--- a/state/store_position.hpp
+++ b/state/store_position.hpp
@@ -23,12 +23,7 @@
     // A bare revision belongs to era 0.
     constexpr store_position(std::uint64_t revision) : revision(revision) {}
 
-    bool operator==(store_position const&) const = default;
-    // Ignores the era, as hosts did before there were eras.
-    std::strong_ordering operator<=>(store_position const& other) const
-    {
-        return revision <=> other.revision;
-    }
+    auto operator<=>(store_position const&) const = default;
 };
 
 } // namespace chivelever
--- a/transport/event_loop_http.cpp
+++ b/transport/event_loop_http.cpp
@@ -3,6 +3,7 @@
 #include "transport/http_messages.hpp"
 #include "transport/log.hpp"
 
+#include <boost/algorithm/string/case_conv.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -87,6 +88,26 @@
 
 } // namespace
 
+namespace
+{
+
+std::map<std::string, std::string> collect_headers(http::fields const& fields)
+{
+    std::map<std::string, std::string> out;
+    for (auto const& field : fields)
+    {
+        std::string name(field.name_string().data(), field.name_string().size());
+        boost::algorithm::to_lower(name);
+        std::string const value(field.value().data(), field.value().size());
+        auto const [it, added] = out.emplace(std::move(name), value);
+        if (!added)
+            it->second += "," + value;
+    }
+    return out;
+}
+
+} // namespace
+
 void http_connection::set_server(endpoint server)
 {
     if (server == server_)
@@ -157,7 +178,8 @@
     stream_->expires_never();
     bool const keep_alive = parser.keep_alive();
     auto response = parser.release();
-    http_reply reply{static_cast<int>(response.result_int()), std::move(response.body())};
+    http_reply reply{static_cast<int>(response.result_int()), std::move(response.body()),
+                     collect_headers(response.base())};
     if (!keep_alive)
         stream_.reset();
     co_return reply;
--- a/transport/http_client.hpp
+++ b/transport/http_client.hpp
@@ -5,6 +5,7 @@
 #include "state/state.hpp"
 
 #include <atomic>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -15,6 +16,15 @@
 {
     int status{};
     std::string body;
+    // Only of replies of the event loop's connection; names in lower case. Repeated headers are
+    // joined by a comma.
+    std::map<std::string, std::string> headers;
+    // The value of a header, or an empty text if there is none.
+    std::string header(std::string const& name) const
+    {
+        auto const it = headers.find(name);
+        return it == headers.end() ? std::string() : it->second;
+    }
     auto operator<=>(http_reply const&) const = default;
 };
 
