Read the store by era, and request a new lease after a restore

Cause: a restore removes a host's lease and its address, and the id of its lease may be granted to another holder, so a renewal can succeed for somebody else's lease. Responses of a replica that was not restored would bring back the old era.

Change: every response of the store is checked for its era. A lease belongs to the era in which it was granted: the directory requests a new one as soon as a response states another era. Log lines have era= beside as_of=, and the gauge store_era shows the latest one.

--- a/coordination/host_directory.cpp
+++ b/coordination/host_directory.cpp
@@ -83,15 +83,28 @@
     read_at_ = now + read_period + duration(static_cast<duration::rep>(random_() % half));
 }
 
-void host_directory::on_lease(store_lease lease, time_point now)
+void host_directory::on_store_era(std::uint64_t era)
 {
+    if (era == lease_era_)
+        return;
+    lease_era_ = era;
+    lease_ = {};
+    written_ = false;
+}
+
+void host_directory::on_lease(store_lease lease, time_point now, std::uint64_t era)
+{
+    lease_era_ = era;
     lease_ = lease;
     renew_at_ = now + renew_period;
 }
 
-void host_directory::on_written()
+void host_directory::on_written(std::uint64_t era)
 {
-    written_ = true;
+    // Under the same id, the address may have been stored under the lease of another holder.
+    bool const own_lease = era == lease_era_;
+    on_store_era(era);
+    written_ = own_lease;
 }
 
 void host_directory::on_lease_ended(time_point now)
@@ -101,8 +114,9 @@
     write_not_before_ = now + retry_delay;
 }
 
-void host_directory::on_renewed(time_point now)
+void host_directory::on_renewed(time_point now, std::uint64_t era)
 {
+    on_store_era(era);
     renew_at_ = now + renew_period;
 }
 
--- a/coordination/host_directory.hpp
+++ b/coordination/host_directory.hpp
@@ -2,7 +2,9 @@
 // its seeds are gone, and schedules reads of these addresses. Handles two failures: addresses of
 // terminated hosts accumulate in the store (each address is bound to a lease that its host renews),
 // and a fleet is partitioned for longer than hosts keep silent peers (the listed hosts and those
-// that hear nobody reread the directory within that time).
+// that hear nobody reread the directory within that time). A restore of the store from a backup
+// removes lease and address, and the lease's id may be granted to another holder, so both belong to
+// the era of the store in which the lease was granted.
 #ifndef CHIVELEVER_COORDINATION_HOST_DIRECTORY_HPP
 #define CHIVELEVER_COORDINATION_HOST_DIRECTORY_HPP
 
@@ -44,14 +46,17 @@
     bool complete() const { return has_read_ && (written_ || !listed_); }
     bool listed() const { return listed_; }
 
-    // Outcomes of the steps. A failed step is retried later and does not block the others.
+    // A response of the store states this era. Ends the lease if it was granted in another one.
+    void on_store_era(std::uint64_t era);
+    // Outcomes of the steps; `era` is the one that the response states. A failed step is retried
+    // later and does not block the others.
     void on_directory(bool own_address_listed, time_point now);
-    void on_lease(store_lease lease, time_point now);
-    void on_written();
+    void on_lease(store_lease lease, time_point now, std::uint64_t era = 0);
+    void on_written(std::uint64_t era = 0);
     // The lease has ended or was never granted: requests a new lease and rewrites the address after
     // a delay.
     void on_lease_ended(time_point now);
-    void on_renewed(time_point now);
+    void on_renewed(time_point now, std::uint64_t era = 0);
     void on_failure(directory_step step, time_point now);
 
 private:
@@ -61,7 +66,8 @@
 
     std::minstd_rand random_;
     store_lease lease_;
-    bool listed_{}; // this host's address should be stored
+    std::uint64_t lease_era_{}; // in which the lease was granted
+    bool listed_{};             // this host's address should be stored
     bool alone_{};
     time_point settled_at_{};
     bool written_{};
--- a/edge/edge_host.cpp
+++ b/edge/edge_host.cpp
@@ -167,6 +167,8 @@
     metrics_.gauge("view_age_seconds", "since the view was known to be the newest", age);
     metrics_.gauge("config_version", "version of the configuration in force",
                    [this] { return static_cast<double>(view_.version().config_version); });
+    metrics_.gauge("store_era", "era of the store in its latest response",
+                   [this] { return static_cast<double>(store_era_.latest()); });
     metrics_.gauge("flows", "flows in the table",
                    [this] { return static_cast<double>(flows_.size()); });
     metrics_.gauge("upstreams", "upstreams that are known",
--- a/edge/edge_host.hpp
+++ b/edge/edge_host.hpp
@@ -52,7 +52,7 @@
     void report_probe(flow_token upstream, endpoint address, connection_outcome outcome,
                       probe_result result, time_point started);
 
-    // State synchronization with the store and other hosts (edge_sync.cpp).
+    // State synchronization with the store (edge_store.cpp) and other hosts (edge_sync.cpp).
     boost::asio::awaitable<void> read_store_loop();
     boost::asio::awaitable<bool> read_store();
     // All items of a section, or the reason for the failure to read them.
@@ -61,9 +61,24 @@
         std::vector<platform::stored_item> items;
         store_position as_of;
         std::string failure;
+        bool outdated{}; // the response is of an earlier era than an earlier one of the same store
     };
+    // Checks the era of a response; nullopt if the response must not be used.
+    std::optional<std::uint64_t> check_era(http_reply const& reply, endpoint store);
+    // Configuration and upstreams, both of the same era.
+    struct store_reading
+    {
+        section_result operators;
+        section_result upstreams;
+    };
+    boost::asio::awaitable<store_reading> read_listings();
+    boost::asio::awaitable<section_result> read_upstreams(section_result const& operators);
     boost::asio::awaitable<section_result> read_section(http_connection& connection,
                                                         platform::section s, bool allow_stale);
+    boost::asio::awaitable<platform::listing_state> read_pages(http_connection& connection,
+                                                               platform::section s,
+                                                               bool allow_stale,
+                                                               section_result& out);
     boost::asio::awaitable<void> maintain_directory();
     boost::asio::awaitable<bool> execute_directory_step(directory_step step,
                                                         http_connection& connection);
@@ -115,6 +130,7 @@
     placement placement_;
     peer_exchange peers_;
     host_directory directory_;
+    store_era store_era_;
     fleet_state fleet_;
     overload_control overload_;
     edge_router router_;
--- a/edge/edge_packets.cpp
+++ b/edge/edge_packets.cpp
@@ -133,6 +133,7 @@
                {"refused_share", format_fixed(d.refused_share)},
                {"config", std::to_string(v.config_version)},
                {"as_of", std::to_string(v.as_of.revision)},
+               {"era", std::to_string(v.as_of.era)},
                {"view_age_ms", std::to_string(ms(now - v.confirmed_at))}});
 }
 
--- a/edge/edge_sync.cpp
+++ b/edge/edge_sync.cpp
@@ -1,4 +1,4 @@
-// Synchronizes the deployment view with the store and with other hosts.
+// Synchronizes the deployment view with other hosts.
 #include "edge/edge_host.hpp"
 
 #include <algorithm>
@@ -15,15 +15,7 @@
 
 using namespace std::chrono_literals;
 
-// The store normally responds within 4 ms, and within a third of a second when it is slow.
-constexpr duration store_call_timeout = 1s;
 constexpr duration fetch_timeout = 500ms;
-constexpr duration max_read_delay = 20ms; // poll interval: a read starts at most this late
-// Upper bound on the sleep between directory steps, so that a changed rank or store address is
-// noticed.
-constexpr duration max_directory_sleep = 1s;
-// Key of the order in which hosts register in the directory.
-constexpr std::uint64_t directory_rank_key = 0;
 // Mostly hosts of the sender's own zone, which it knows best.
 constexpr std::size_t max_hosts_to_other_zones = 4;
 // Older answers say nothing about a suspicion: the first probe began at most this long ago.
@@ -39,176 +31,6 @@
 
 } // namespace
 
-// Also runs while the host drains: it is still in the order of readers, and routes by its view.
-asio::awaitable<void> edge_host::read_store_loop()
-{
-    while (!stopping_)
-    {
-        time_point const now = boot_time_now();
-        time_point const due = peers_.next_read(view_.version(), now);
-        if (due > now)
-        {
-            co_await sleep_for(io_, std::min<duration>(due - now, max_read_delay));
-            continue;
-        }
-        bool const done = co_await read_store();
-        if (done)
-            peers_.on_read_succeeded(boot_time_now());
-        else
-            peers_.on_read_failed(boot_time_now());
-    }
-}
-
-asio::awaitable<bool> edge_host::read_store()
-{
-    time_point const read_at = boot_time_now();
-    // When the whole system starts for the first time there is usually no configuration yet, and a
-    // read that may be stale shows that at a tenth of the price.
-    bool const expects_nothing = settings_.first_start && !has_read_;
-    has_read_ = true;
-    auto operators = co_await read_section(store_, platform::section::operators, expects_nothing);
-    if (expects_nothing && operators.failure.empty() && !operators.items.empty())
-        operators = co_await read_section(store_, platform::section::operators, false);
-    // Without a configuration the upstreams are of no use yet.
-    bool const needs_upstreams = view_.loaded() || !operators.items.empty();
-    section_result upstreams{{}, operators.as_of, ""};
-    // A stale read costs a tenth of a consistent one; its revision shows whether it is too old.
-    if (operators.failure.empty() && needs_upstreams)
-        upstreams = co_await read_section(store_, platform::section::upstreams, true);
-    if (operators.failure.empty() && upstreams.failure.empty() && upstreams.as_of < operators.as_of)
-        upstreams = co_await read_section(store_, platform::section::upstreams, false);
-    std::string const& failure = operators.failure.empty() ? upstreams.failure : operators.failure;
-    record_store_state(failure.empty(), failure);
-    if (!failure.empty())
-        co_return false;
-    metrics_.observe("store_reading_seconds", "one reading of configuration and upstreams",
-                     std::chrono::duration<double>(boot_time_now() - read_at).count());
-    findings problems;
-    operator_listing const o =
-        platform::decode_operators(operators.items, operators.as_of, problems);
-    upstream_listing const u =
-        platform::decode_upstreams(upstreams.items, upstreams.as_of, problems);
-    report_findings(problems);
-    std::vector<view_change> changes;
-    bool const applied = view_.apply(o, u, read_at, boot_time_now(), changes);
-    report_changes(applied, changes, "store", o.as_of);
-    announce();
-    log::info("store.read", {{"as_of", std::to_string(o.as_of.revision)},
-                             {"upstreams", std::to_string(u.entries.size())},
-                             {"hosts", std::to_string(peers_.alive_count() + 1)},
-                             {"took_ms", std::to_string(ms_since(read_at, boot_time_now()))}});
-    co_return true;
-}
-
-asio::awaitable<edge_host::section_result>
-edge_host::read_section(http_connection& connection, platform::section s, bool allow_stale)
-{
-    section_result out;
-    platform::listing_reader listing(s, allow_stale);
-    while (listing.state() == platform::listing_state::incomplete)
-    {
-        auto const request = listing.next_request();
-        metrics_.count("store_calls_total", "calls to the store",
-                       allow_stale ? "kind=\"range_stale\"" : "kind=\"range\"")++;
-        auto const reply = co_await connection.call(request.method, request.target, request.body,
-                                                    store_call_timeout);
-        if (!reply || reply->status != http_ok)
-        {
-            out.failure = (reply ? "HTTP status " + std::to_string(reply->status) : "no response") +
-                          " to " + request.target;
-            co_return out;
-        }
-        findings problems;
-        listing.add_page(reply->body, problems);
-        report_findings(problems);
-    }
-    if (listing.state() == platform::listing_state::invalid)
-    {
-        // The responses on this connection may be out of step with the requests.
-        connection.close();
-        out.failure = "invalid response";
-    }
-    else if (listing.state() == platform::listing_state::endless)
-        out.failure = "pagination does not terminate";
-    out.as_of = listing.as_of();
-    out.items = listing.take_items();
-    co_return out;
-}
-
-// Keeps this host's address registered in the store and reads the addresses of the others.
-asio::awaitable<void> edge_host::maintain_directory()
-{
-    http_connection connection(io_, settings_.store);
-    bool reported = false;
-    while (!draining_)
-    {
-        connection.set_server(settings_.store);
-        time_point const now = boot_time_now();
-        directory_.update(peers_.rank_in_zone(directory_rank_key, now), peers_.has_contact(now),
-                          now);
-        directory_step const step = directory_.next(now);
-        if (step == directory_step::wait)
-            co_await sleep_for(io_,
-                               std::min<duration>(directory_.due() - now, max_directory_sleep));
-        else if (!co_await execute_directory_step(step, connection))
-            directory_.on_failure(step, boot_time_now());
-        if (directory_.complete() && !reported)
-            log::info("directory.read", {{"peers", std::to_string(peers_.peer_count())},
-                                         {"listed", directory_.listed() ? "yes" : "no"}});
-        reported = reported || directory_.complete();
-    }
-}
-
-asio::awaitable<bool> edge_host::execute_directory_step(directory_step step,
-                                                        http_connection& connection)
-{
-    if (step == directory_step::read_directory)
-        co_return co_await read_directory(connection);
-    bool const requests_lease = step == directory_step::request_lease;
-    bool const renews_lease = step == directory_step::renew_lease;
-    auto const r = requests_lease ? platform::lease_request(directory_lease_time)
-                   : renews_lease ? platform::renew_request(directory_.lease())
-                                  : platform::register_host_request({settings_.ip, settings_.zone},
-                                                                    directory_.lease());
-    metrics_.count("store_calls_total", "calls to the store",
-                   renews_lease ? "kind=\"renew\"" : "kind=\"write\"")++;
-    auto const reply = co_await connection.call(r.method, r.target, r.body, store_call_timeout);
-    if (reply && reply->status == http_not_found && !requests_lease)
-    {
-        log::info("host.lease_ended", {{"lease", std::to_string(directory_.lease().value)}});
-        directory_.on_lease_ended(boot_time_now());
-        co_return true;
-    }
-    if (!reply || reply->status != http_ok)
-        co_return false;
-    findings problems;
-    if (renews_lease)
-        directory_.on_renewed(boot_time_now());
-    else if (!requests_lease)
-        directory_.on_written();
-    else if (auto const lease = platform::decode_lease(reply->body, problems))
-        directory_.on_lease(*lease, boot_time_now());
-    report_findings(problems);
-    co_return problems.empty();
-}
-
-asio::awaitable<bool> edge_host::read_directory(http_connection& connection)
-{
-    auto const hosts = co_await read_section(connection, platform::section::hosts, true);
-    if (!hosts.failure.empty())
-        co_return false;
-    findings problems;
-    bool own_listed = false;
-    for (peer_address const& p : platform::decode_hosts(hosts.items, problems))
-    {
-        own_listed = own_listed || p.ip == settings_.ip;
-        peers_.add(p, boot_time_now());
-    }
-    report_findings(problems);
-    directory_.on_directory(own_listed, boot_time_now());
-    co_return true;
-}
-
 asio::awaitable<void> edge_host::fetch_view()
 {
     view_version const own = view_.version();
@@ -229,7 +51,8 @@
     endpoint const from{chosen.value_or(*source), settings_.peer_port};
     // Fetches the changes only; if the views differ afterwards, they had diverged before, and the
     // whole view is fetched.
-    bool const same = co_await fetch_from(from, view_.loaded() ? view_.version().as_of : store_position{});
+    bool const same =
+        co_await fetch_from(from, view_.loaded() ? view_.version().as_of : store_position{});
     if (!same)
         co_await fetch_from(from, 0);
     if (view_.version().as_of > own.as_of)
@@ -261,7 +84,8 @@
     bool const applied = view_.apply(*v, now, changes);
     report_changes(applied, changes, to_string(source), v->operators.as_of);
     bool const newer_meanwhile = view_.version().as_of > v->operators.as_of;
-    co_return newer_meanwhile || (applied && view_.version().digest == v->digest);
+    // A complete view of a later era may have an older configuration than this host.
+    co_return newer_meanwhile || (applied && (v->complete || view_.version().digest == v->digest));
 }
 
 void edge_host::report_changes(bool applied, std::vector<view_change> const& changes,
@@ -272,12 +96,15 @@
     if (!applied)
         log::info("view.older", {{"source", source},
                                  {"as_of", std::to_string(as_of.revision)},
-                                 {"own_as_of", std::to_string(own.as_of.revision)}});
+                                 {"era", std::to_string(as_of.era)},
+                                 {"own_as_of", std::to_string(own.as_of.revision)},
+                                 {"own_era", std::to_string(own.as_of.era)}});
     for (view_change const& c : changes)
         log::info(c.kind, {{"subject", c.subject},
                            {"detail", c.detail},
                            {"source", source},
                            {"as_of", std::to_string(as_of.revision)},
+                           {"era", std::to_string(as_of.era)},
                            {"age_ms", std::to_string(ms_since(own.confirmed_at, now))}});
     update_readiness(now);
 }
@@ -386,19 +213,6 @@
             heartbeat_socket_->send({p.ip, settings_.peer_port}, bytes);
 }
 
-void edge_host::record_store_state(bool reachable, std::string const& detail)
-{
-    if (!reachable)
-        metrics_.count("store_failures_total", "calls that the store did not answer as asked")++;
-    if (store_reachable_ == reachable)
-        return;
-    store_reachable_ = reachable;
-    if (reachable)
-        log::info("store.reached", {{"store", to_string(store_.server())}});
-    else
-        log::warning("store.lost", {{"store", to_string(store_.server())}, {"detail", detail}});
-}
-
 // Logs each distinct finding when its count reaches a power of two: an invalid entry stays in the
 // store and is found again by every read.
 void edge_host::report_findings(findings const& problems)
--- a/tests/store_restore_test.cpp
+++ b/tests/store_restore_test.cpp
@@ -279,6 +279,53 @@
     CHECK(problems.size() == 6);
 }
 
+// Guards against a response of a replica that was not restored, which would bring back the old era.
+TEST_CASE("responses of an earlier era of the same store are rejected", "[edge][era]")
+{
+    store_era era;
+    endpoint const store{0x0A000001, 443};
+    CHECK(era.observe(store, 0));
+    CHECK(era.observe(store, 2));
+    CHECK_FALSE(era.observe(store, 1));
+    CHECK_FALSE(era.observe(store, 0));
+    CHECK(era.observe(store, 2));
+    CHECK(era.observe({0x0A000002, 443}, 1)); // the settings name another store
+    CHECK(era.latest() == 1);
+}
+
+// Guards against renewing a lease id that the restored store has granted to another holder, and
+// against an address stored under such a lease.
+TEST_CASE("a host requests a new lease in a new era", "[edge][era]")
+{
+    time_point now = edge_start;
+    host_directory d(1);
+    auto const register_host = [&](std::uint64_t lease, std::uint64_t era)
+    {
+        REQUIRE(d.next(now) == directory_step::request_lease);
+        d.on_lease({lease}, now, era);
+        REQUIRE(d.next(now) == directory_step::write_address);
+        d.on_written(era);
+        REQUIRE(d.next(now) == directory_step::wait);
+    };
+    d.update(0, true, now);
+    d.on_directory(false, now);
+    now += 3s;
+    d.update(0, true, now);
+    register_host(7, 1);
+    now += 1min;
+    d.on_directory(true, now);
+    REQUIRE(d.next(now) == directory_step::renew_lease);
+    d.on_renewed(now, 2); // the restored store renews lease 7 of another holder
+    register_host(3, 2);
+    d.on_store_era(3); // seen in a reading
+    CHECK_FALSE(d.complete());
+    REQUIRE(d.next(now) == directory_step::request_lease);
+    d.on_lease({4}, now, 3);
+    d.on_written(4); // stored under a lease id of the next era
+    register_host(5, 4);
+    CHECK(d.complete());
+}
+
 // Guards against hosts of the earlier version that cannot read the messages, or whose messages
 // cannot be read: the era comes last and defaults to 0.
 TEST_CASE("the era is carried by all messages between hosts", "[edge][era]")
