--- a/edge/edge_host.hpp
+++ b/edge/edge_host.hpp
@@ -52,26 +52,41 @@
     void report_probe(flow_token upstream, endpoint address, connection_outcome outcome,
                       probe_result result, time_point started);
 
-    // State synchronization with the store and other hosts (edge_sync.cpp).
+    // State synchronization with the store (edge_store.cpp) and other hosts (edge_sync.cpp).
     boost::asio::awaitable<void> read_store_loop();
     boost::asio::awaitable<bool> read_store();
     // All items of a section, or the reason for the failure to read them.
     struct section_result
     {
         std::vector<platform::stored_item> items;
-        std::uint64_t as_of{};
+        store_position as_of;
         std::string failure;
+        bool outdated{}; // the response is of an earlier era than an earlier one of the same store
     };
+    // Checks the era of a response; nullopt if the response must not be used.
+    std::optional<std::uint64_t> check_era(http_reply const& reply, endpoint store);
+    // Configuration and upstreams, both of the same era.
+    struct store_reading
+    {
+        section_result operators;
+        section_result upstreams;
+    };
+    boost::asio::awaitable<store_reading> read_listings();
+    boost::asio::awaitable<section_result> read_upstreams(section_result const& operators);
     boost::asio::awaitable<section_result> read_section(http_connection& connection,
                                                         platform::section s, bool allow_stale);
+    boost::asio::awaitable<platform::listing_state> read_pages(http_connection& connection,
+                                                               platform::section s,
+                                                               bool allow_stale,
+                                                               section_result& out);
     boost::asio::awaitable<void> maintain_directory();
     boost::asio::awaitable<bool> execute_directory_step(directory_step step,
                                                         http_connection& connection);
     boost::asio::awaitable<bool> read_directory(http_connection& connection);
     boost::asio::awaitable<void> fetch_view();
     void report_changes(bool applied, std::vector<view_change> const& changes,
-                        std::string const& source, std::uint64_t as_of);
-    boost::asio::awaitable<bool> fetch_from(endpoint source, std::uint64_t as_of);
+                        std::string const& source, store_position as_of);
+    boost::asio::awaitable<bool> fetch_from(endpoint source, store_position as_of);
     void on_heartbeat(std::string_view bytes, endpoint source);
     peer_heartbeat make_heartbeat(time_point now) const;
     // Slow start: begins it for upstreams that have changed, and processes another host's levels.
@@ -122,6 +137,7 @@
     peer_exchange peers_;
     host_directory directory_;
     slow_start recoveries_;
+    store_era store_era_;
     fleet_state fleet_;
     overload_control overload_;
     edge_router router_;
--- a/protocol/edge_codec.hpp
+++ b/protocol/edge_codec.hpp
@@ -19,12 +19,13 @@
 // The view that a requesting host already has; 0 means none.
 struct view_base
 {
-    std::uint64_t as_of{};
+    store_position as_of;
     std::uint64_t config_version{};
     auto operator<=>(view_base const&) const = default;
 };
 std::string encode_view_query(view_base const& b);
-// A malformed query is read as a request for the complete view.
+// A query without an era, from a host of an earlier version, means era 0. A malformed query is read
+// as a request for the complete view.
 view_base decode_view_query(std::string const& query);
 
 std::string encode_view(peer_view const& v);
