--- a/protocol/edge_settings.cpp
+++ b/protocol/edge_settings.cpp
@@ -79,6 +79,16 @@
         return parts;
     }
 
+    admission_policy policy(std::string const& section, std::string const& key)
+    {
+        std::string const value = text(section, key, false);
+        if (value == "capacity")
+            return admission_policy::capacity;
+        if (!value.empty() && value != "answer_time")
+            add_finding(section, key, "\"" + value + "\" is neither answer_time nor capacity");
+        return admission_policy::answer_time;
+    }
+
     void add_finding(std::string const& section, std::string const& key, std::string message)
     {
         auto const at = index_.keys.find({section, key});
@@ -141,6 +151,7 @@
     s.cold_slack = in.number("bounds", "cold_slack", s.cold_slack);
     s.grace = std::chrono::milliseconds(
         static_cast<std::int64_t>(in.number("bounds", "grace_s", default_grace_s) * 1000));
+    s.admission = in.policy("admission", "policy");
     if (found.size() > before)
         return std::nullopt;
     return s;
--- a/protocol/edge_settings.hpp
+++ b/protocol/edge_settings.hpp
@@ -13,6 +13,13 @@
 namespace chivelever
 {
 
+// What decides whether a service has capacity for a new flow.
+enum class admission_policy : std::uint8_t
+{
+    answer_time, // overload_control for all services
+    capacity     // capacity_admission for the services to which it applies
+};
+
 struct edge_settings
 {
     std::string name;
@@ -27,6 +34,7 @@
     double cold_overage{1.5}; // a cold upstream accepts its cold request rate times this factor
     double cold_slack{5};     // plus this many requests per second
     duration grace{};         // from the stop request until the process is killed
+    admission_policy admission{admission_policy::answer_time};
     auto operator<=>(edge_settings const&) const = default;
 };
 
--- a/tests/edge_support_test.cpp
+++ b/tests/edge_support_test.cpp
@@ -199,6 +199,16 @@
     problems.clear();
     CHECK_FALSE(parse_edge_settings("", "boot.ini", problems));
     CHECK(problems.size() >= 6);
+
+    // A misspelt policy must not fall back to the default without a finding.
+    CHECK(s->admission == admission_policy::answer_time);
+    std::string const policy = good + "[admission]\npolicy = ";
+    CHECK(parse_edge_settings(policy + "capacity\n", "boot.ini", problems)->admission ==
+          admission_policy::capacity);
+    problems.clear();
+    CHECK_FALSE(parse_edge_settings(policy + "capcity\n", "boot.ini", problems));
+    REQUIRE(problems.size() == 1);
+    CHECK(problems[0].key == "policy");
 }
 
 } // namespace chivelever
