Keep the loads of services that other hosts report

Cause: a host that decides on admission and spillover needs the load of its zone and of the other zones. Change: service_loads keeps the latest report of each host of the zone and the latest sum of each other zone for 2 s after receipt, scales figures to the living hosts and makes the sums for other zones. peer_exchange owns it; only reachable zones count, and a host that hears nobody keeps the size of its zone. Its functions on loads move to peer_loads.cpp.

--- a/coordination/peer_exchange.cpp
+++ b/coordination/peer_exchange.cpp
@@ -68,7 +68,6 @@
 // Loads reported by a host expire when no newer report arrives within this time.
 constexpr duration load_lifetime_small_fleet = 700ms;
 constexpr duration load_lifetime_large_fleet = 2s;
-constexpr double milli_per_unit = 1000;
 
 duration random_below(duration limit, std::minstd_rand& random)
 {
@@ -119,6 +118,7 @@
     if (it == peers_.end())
         return;
     subtract_loads(it->second);
+    service_loads_.remove(ip);
     std::erase(zone_hosts_[it->second.zone], ip);
     peers_.erase(it);
 }
@@ -164,6 +164,7 @@
     // An announcement of a read carries no loads; the previous ones stay valid.
     if (!b.loads.empty())
         replace_loads(p, b.loads, now);
+    service_loads_.record({b.sender.ip, p.zone}, b.service_loads, now);
     out.confirmed_at = p.view_confirmed_at;
     bool const same_contents = b.digest == own.digest && b.config_version == own.config_version;
     // A reading that is relayed seems to be younger by its time on the way. At the same revision it
@@ -237,6 +238,8 @@
     alive_count_ = static_cast<std::size_t>(std::ranges::count_if(
         peers_, [&](auto const& item) { return is_alive(item.second, now); }));
     introductions_ = 0;
+    if (has_contact(now))
+        known_local_hosts_ = living_hosts(now).front().hosts;
     return sample(self_.zone, 1, now);
 }
 
@@ -371,47 +374,6 @@
                                              : load_lifetime_large_fleet;
 }
 
-void peer_exchange::subtract_loads(peer& p)
-{
-    for (reported_load const& l : p.loads)
-    {
-        auto const it = total_loads_.find(l.upstream.value);
-        if (it == total_loads_.end())
-            continue;
-        it->second.flows -= l.flows;
-        it->second.mean_pending_milli -= l.mean_pending_milli;
-        if (it->second.flows == 0 && it->second.mean_pending_milli == 0)
-            total_loads_.erase(it);
-    }
-    p.loads.clear();
-}
-
-void peer_exchange::replace_loads(peer& p, std::vector<reported_load> const& loads, time_point now)
-{
-    subtract_loads(p);
-    for (reported_load const& l : loads)
-    {
-        if (l.flows == 0 && l.mean_pending_milli == 0)
-            continue;
-        reported_load& sum = total_loads_[l.upstream.value];
-        sum.flows += l.flows;
-        sum.mean_pending_milli += l.mean_pending_milli;
-        p.loads.push_back(l);
-    }
-    p.loads_received_at = now;
-}
-
-upstream_load peer_exchange::peer_load(flow_token upstream) const
-{
-    upstream_load out;
-    auto const it = total_loads_.find(upstream.value);
-    if (it == total_loads_.end())
-        return out;
-    out.flows = it->second.flows;
-    out.mean_pending_requests = it->second.mean_pending_milli / milli_per_unit;
-    return out;
-}
-
 bool peer_exchange::has_contact(time_point now) const
 {
     return last_contact_ != time_point{} && now - last_contact_ < contact_timeout;
@@ -461,6 +423,7 @@
 
 void peer_exchange::expire(time_point now)
 {
+    service_loads_.expire(now);
     std::vector<std::uint32_t> silent;
     for (auto& [ip, p] : peers_)
     {
--- a/coordination/peer_exchange.hpp
+++ b/coordination/peer_exchange.hpp
@@ -8,6 +8,7 @@
 
 #include "coordination/deployment_view.hpp"
 #include "coordination/flow_table.hpp"
+#include "coordination/service_loads.hpp"
 #include "state/state.hpp"
 
 #include <cstdint>
@@ -34,7 +35,10 @@
 class peer_exchange
 {
 public:
-    peer_exchange(peer_address self, std::uint64_t seed) : self_(std::move(self)), random_(seed) {}
+    peer_exchange(peer_address self, std::uint64_t seed)
+        : self_(std::move(self)), random_(seed), service_loads_(self_.zone)
+    {
+    }
 
     // Adds a host named by the settings, the store or another host. Returns false if it is already
     // known or is this host.
@@ -70,6 +74,9 @@
 
     // Sum of the loads of the upstream that other hosts have reported.
     upstream_load peer_load(flow_token upstream) const;
+    // Load of the other hosts on a service, of reachable zones only.
+    fleet_load load_on_service(std::string const& service, time_point now) const;
+    service_loads const& reported_service_loads() const { return service_loads_; }
     // Returns false if hosts of the zone were heard before, by this host or by others of its zone,
     // and all of them are silent now, while hosts of other zones are heard.
     bool zone_reachable(std::string const& zone, time_point now) const;
@@ -111,6 +118,8 @@
                        std::vector<std::uint32_t>& out);
     duration read_delay(view_version const& own, time_point now);
     duration load_lifetime() const;
+    // Living hosts of each reachable zone.
+    std::vector<living_zone> living_hosts(time_point now) const;
 
     peer_address self_;
     std::minstd_rand random_;
@@ -130,6 +139,9 @@
     std::uint32_t read_failures_{};
     time_point next_read_not_before_{};
     std::unordered_map<std::uint32_t, reported_load> total_loads_; // sums over all peers
+    service_loads service_loads_;
+    // Living hosts of this zone when the host last had contact.
+    std::size_t known_local_hosts_{1};
 };
 
 } // namespace chivelever
--- a/state/peer_messages.hpp
+++ b/state/peer_messages.hpp
@@ -4,6 +4,7 @@
 
 #include "state/edge_types.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -71,6 +72,9 @@
     auto operator<=>(priority_demand const&) const = default;
 };
 
+// Priorities in the report on one service; keeps the size of a heartbeat bounded.
+inline constexpr std::size_t max_reported_priorities = 4;
+
 // Load on one service. In a heartbeat within a zone it is the sender's own; in one to another zone
 // it is the sum over the hosts of the sender's zone.
 struct service_load
--- a/tests/edge_support_test.cpp
+++ b/tests/edge_support_test.cpp
@@ -140,6 +140,14 @@
     b.observed_zones = {{"wlg", 40}};
     b.observed_answers = {{{5}, 30}};
     CHECK(decode_heartbeat(encode_heartbeat(b)) == b);
+    // A host of an earlier version sends no loads of services.
+    std::string earlier = encode_heartbeat(b);
+    REQUIRE(earlier.ends_with(",[]]"));
+    earlier.replace(earlier.size() - 4, 4, "]");
+    CHECK(decode_heartbeat(earlier) == b);
+    b.service_loads = {{"desk", 22, 400, {{"akl", 31'500}, {"wlg", 250}}, {{1, 12'000}, {2, 70}}},
+                       {"bulk", 1, 0, {}, {}}};
+    CHECK(decode_heartbeat(encode_heartbeat(b)) == b);
 
     operator_listing o = make_operators(30, 4, {desk_route, bulk_route});
     o.evacuated_zones = {"wlg"};
