Place flows by the loads of zones where capacity is exchanged

Cause: comparing single upstreams says nothing about upstreams of other zones, whose loads are not reported, and close to the limit hosts that compare reports half a second old choose the same upstreams. Close to its limit a host compares its own pending requests and breaks ties in an order of its own. Requests without zone loads are placed as before.

--- a/coordination/placement.cpp
+++ b/coordination/placement.cpp
@@ -137,12 +137,67 @@
     }
 }
 
-placement_choice placement::choose(placement_request const& request, deployment_view const& view,
-                                   flow_table const& flows, upstream_health const& health,
-                                   fleet_state const& fleet, time_point now)
+void placement::rotate(candidate_search& search, std::vector<flow_token> const& upstreams,
+                       time_point now)
 {
-    candidate_search search{request, view, flows, health, fleet, {}, 0};
-    auto const& zones = view.upstreams_of(request.service);
+    std::uint64_t& position = rotation_positions_[search.request.service];
+    placement_choice& best = search.best;
+    std::uint64_t best_distance = 0;
+    for (flow_token const token : upstreams)
+    {
+        known_upstream const* const u = search.view.find(token);
+        if (u == nullptr || !search.view.accepts_new_flows(*u, now) || now < u->cold_until ||
+            search.health.status(token, now) != health_status::healthy ||
+            std::ranges::find(search.request.excluded, token) != search.request.excluded.end())
+            continue;
+        ++best.candidates;
+        double const load = search.flows.load(token).pending_requests /
+                            static_cast<double>(std::max<std::uint32_t>(1, u->entry.slots));
+        // Distance from the upstream that was chosen last, which comes last.
+        std::uint64_t const distance = hash_pair(token.value, rotation_seed_) - position - 1;
+        if (best.upstream.value == 0 || load < best.cost ||
+            (load <= best.cost && distance < best_distance))
+        {
+            best.upstream = token;
+            best.cost = load;
+            best_distance = distance;
+        }
+    }
+    if (best.upstream.value != 0)
+        position = hash_pair(best.upstream.value, rotation_seed_);
+}
+
+void placement::compare_least_loaded_zone(candidate_search& search, time_point now)
+{
+    zone_load const* best = nullptr;
+    double best_cost = 0;
+    for (zone_load const& z : search.request.capacity->zones)
+    {
+        if (z.slots <= 0)
+            continue;
+        double const cost = z.expected / z.slots + (z.zone == settings_.zone ? 0 : other_zone_cost);
+        if (best == nullptr || cost < best_cost)
+        {
+            best = &z;
+            best_cost = cost;
+        }
+    }
+    if (best == nullptr)
+        return;
+    auto const& zones = search.view.upstreams_of(search.request.service);
+    auto const upstreams = zones.find(best->zone);
+    if (upstreams == zones.end())
+        return;
+    if (search.request.capacity->rotate)
+        rotate(search, upstreams->second, now);
+    else
+        compare_zone(search, upstreams->second, true, now);
+}
+
+// Compares the upstreams of all zones by their own loads.
+void placement::compare_all_zones(candidate_search& search, time_point now)
+{
+    auto const& zones = search.view.upstreams_of(search.request.service);
     auto const local = zones.find(settings_.zone);
     if (local != zones.end())
         compare_zone(search, local->second, true, now);
@@ -151,7 +206,22 @@
     if (search.best.upstream.value == 0 || search.best.cost >= other_zone_cost)
         for (auto const& [zone, upstreams] : zones)
             if (zone != settings_.zone)
-                compare_zone(search, upstreams, fleet.zone_reachable(zone), now);
+                compare_zone(search, upstreams, search.fleet.zone_reachable(zone), now);
+}
+
+placement_choice placement::choose(placement_request const& request, deployment_view const& view,
+                                   flow_table const& flows, upstream_health const& health,
+                                   fleet_state const& fleet, time_point now)
+{
+    candidate_search search{request, view, flows, health, fleet, {}, 0};
+    if (request.capacity != nullptr)
+        compare_least_loaded_zone(search, now);
+    // Also if that zone has no upstream left that did not fail for this flow.
+    if (search.best.upstream.value == 0)
+    {
+        search.best = {};
+        compare_all_zones(search, now);
+    }
     placement_choice const& best = search.best;
     known_upstream const* const chosen = view.find(best.upstream);
     if (best.upstream.value != 0 && now < chosen->cold_until)
--- a/coordination/placement.hpp
+++ b/coordination/placement.hpp
@@ -8,12 +8,14 @@
 
 #include "coordination/deployment_view.hpp"
 #include "coordination/flow_table.hpp"
+#include "coordination/service_loads.hpp"
 #include "coordination/upstream_health.hpp"
 #include "state/state.hpp"
 
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <random>
 #include <span>
 #include <string>
@@ -30,12 +32,31 @@
     double cold_slack{5};     // added to that product, in requests per second
 };
 
+// Expected load on the upstreams of a service in one reachable zone.
+struct zone_load
+{
+    std::string zone;
+    double slots{};
+    double expected{}; // unanswered requests of all hosts
+    auto operator<=>(zone_load const&) const = default;
+};
+
+// Placement of a service with admission by capacity.
+struct capacity_placement
+{
+    std::vector<zone_load> zones;
+    // This host is close to its limit: upstreams are compared by its own pending requests.
+    bool rotate{};
+    bool operator==(capacity_placement const&) const = default;
+};
+
 // Parameters of a new flow.
 struct placement_request
 {
     std::string const& service;
     std::span<flow_token const> excluded; // upstreams that did not answer its SYN
     bool long_flow{};                     // expected to carry more than one request
+    capacity_placement const* capacity{}; // null: the upstreams of all zones are compared
 };
 
 // Fleet-wide state used by placement.
@@ -47,6 +68,8 @@
     std::function<std::size_t(flow_token)> zone_rank;
     std::size_t hosts_in_zone{1}; // hosts in this host's zone, itself included
     bool settled{true};           // whether this host has had time to hear the hosts of its zone
+    // Load of the other hosts on a service; empty if there are no reports.
+    std::function<fleet_load(std::string const& service)> load_on_service{};
 };
 
 struct placement_choice
@@ -60,13 +83,19 @@
 {
 public:
     placement(placement_settings settings, std::uint64_t seed)
-        : settings_(std::move(settings)), random_(seed)
+        : settings_(std::move(settings)), random_(seed), rotation_seed_(seed)
     {
     }
 
     placement_choice choose(placement_request const& request, deployment_view const& view,
                             flow_table const& flows, upstream_health const& health,
                             fleet_state const& fleet, time_point now);
+    // Whether this host may place new flows on the cold upstream, at a limited rate.
+    bool may_use_cold(known_upstream const& u, deployment_view const& view,
+                      fleet_state const& fleet) const
+    {
+        return cold_share(u, view, fleet) > 0;
+    }
     // Selects one of the route's services by weight.
     std::string const& pick_service(route_entry const& route, flow_endpoints const& flow) const;
 
@@ -89,6 +118,11 @@
     };
     void compare_zone(candidate_search& search, std::vector<flow_token> const& upstreams,
                       bool reachable, time_point now);
+    void compare_all_zones(candidate_search& search, time_point now);
+    // Compares the upstreams of the zone with the least expected load per slot.
+    void compare_least_loaded_zone(candidate_search& search, time_point now);
+    // Chooses by own pending requests, with ties in an order of this host's own.
+    void rotate(candidate_search& search, std::vector<flow_token> const& upstreams, time_point now);
     double cost(known_upstream const& u, bool long_flow, flow_table const& flows,
                 upstream_health const& health, fleet_state const& fleet, bool reachable,
                 time_point now) const;
@@ -96,6 +130,8 @@
     placement_settings settings_;
     std::minstd_rand random_;
     std::unordered_map<std::uint32_t, std::deque<time_point>> recent_cold_flows_;
+    std::uint64_t rotation_seed_;
+    std::map<std::string, std::uint64_t> rotation_positions_; // by service
 };
 
 } // namespace chivelever
