Admit flows by capacity where the policy applies

Cause: overload_control decides from the response times that one host sees and does not notice full slots. Change: service_capacity builds the question for capacity_admission from the view, the pending requests, the health of the upstreams and the reports of other hosts; slots and reports are recomputed every 100 ms, own pending requests are counted for each decision over the upstreams that have any. edge_router records openings, requests and answers, asks before it chooses an upstream, and passes the loads of zones to placement. A retransmitted SYN of a known flow, a service without usable slots and the first 2 s of a host are not decided on. Heartbeats carry the own loads within the zone and sums to other zones. flow.opening has admission, pending, limit and report_age_ms; service.overloaded and service.recovered cover the policy; metrics admissions_total, admission_pending, admission_limit and admission_demand_slots. The library is a stub in this tree: tests replace its decisions.

--- a/coordination/coordination.hpp
+++ b/coordination/coordination.hpp
@@ -22,6 +22,7 @@
 #include "coordination/pool_lease.hpp"
 #include "coordination/retry_budget.hpp"
 #include "coordination/router.hpp"
+#include "coordination/service_capacity.hpp"
 #include "coordination/service_loads.hpp"
 #include "coordination/store_sync.hpp"
 #include "coordination/store_watcher.hpp"
--- a/coordination/edge_router.cpp
+++ b/coordination/edge_router.cpp
@@ -119,9 +119,8 @@
     if (flow.open_attempts < max_open_attempts && route != nullptr)
     {
         std::array<flow_token, 3> const excluded{flow.tried[0], flow.tried[1], flow.upstream};
-        auto const choice = place_.choose({place_.pick_service(*route, key), excluded,
-                                           flows_.carries_long_flows(key.destination)},
-                                          view_, flows_, health_, fleet_, now);
+        auto const choice =
+            choose_upstream(place_.pick_service(*route, key), excluded, key.destination, now);
         if (choice.upstream.value != 0)
             flows_.reassign(flow, choice.upstream, now);
     }
@@ -130,6 +129,15 @@
     return forward_to(d, flow.upstream);
 }
 
+placement_choice edge_router::choose_upstream(std::string const& service,
+                                              std::span<flow_token const> excluded,
+                                              endpoint destination, time_point now)
+{
+    return place_.choose({service, excluded, flows_.carries_long_flows(destination),
+                          capacity_.placement_loads(service, now)},
+                         view_, flows_, health_, fleet_, now);
+}
+
 packet_decision edge_router::place_flow(caller_packet const& p, std::string_view raw,
                                         time_point now)
 {
@@ -145,8 +153,17 @@
         return d;
     }
     std::string const& service = place_.pick_service(*route, p.flow);
-    auto const choice = place_.choose({service, {}, flows_.carries_long_flows(p.flow.destination)},
-                                      view_, flows_, health_, fleet_, now);
+    capacity_.record_opening(service, *route, now);
+    bool const by_capacity = capacity_.applies_to(service);
+    if (by_capacity)
+        d.admission = capacity_.admit(service, *route, p.flow.caller, now);
+    if (d.admission && !d.admission->admitted)
+    {
+        d.action = packet_action::reset;
+        d.reason = packet_reason::overloaded;
+        return d;
+    }
+    auto const choice = choose_upstream(service, {}, p.flow.destination, now);
     if (choice.upstream.value == 0)
     {
         // A cold upstream accepts more within a second, and the caller retransmits its SYN. With no
@@ -156,7 +173,7 @@
         d.reason = cold ? packet_reason::only_cold_upstreams : packet_reason::no_upstream;
         return d;
     }
-    if (!overload_.admits(service, route->priority, p.flow.caller, now))
+    if (!by_capacity && !overload_.admits(service, route->priority, p.flow.caller, now))
     {
         d.action = packet_action::reset;
         d.reason = packet_reason::overloaded;
@@ -235,14 +252,8 @@
                                      time_point now)
 {
     d.seen = flows_.observe(flow, p, now);
-    if (d.seen.answer_time)
-    {
-        route_entry const* const route = view_.route(p.flow.destination);
-        known_upstream const* const u = view_.find(flow.upstream);
-        if (route != nullptr && u != nullptr)
-            overload_.answered(u->entry.service, *d.seen.answer_time, route->latency_objective,
-                               now);
-    }
+    if (d.seen.answer_time || d.seen.request)
+        record_request(d.seen, flow, p.flow.destination, now);
     if (d.seen.answered)
         health_.record_answer(flow.upstream, now);
     else if (d.seen.retransmitted)
@@ -252,6 +263,36 @@
     }
 }
 
+void edge_router::record_request(flow_observation const& seen, flow_record& flow,
+                                 endpoint destination, time_point now)
+{
+    route_entry const* const route = view_.route(destination);
+    known_upstream const* const u = view_.find(flow.upstream);
+    if (route == nullptr || u == nullptr)
+        return;
+    std::string const& service = u->entry.service;
+    if (seen.answer_time)
+    {
+        overload_.answered(service, *seen.answer_time, route->latency_objective, now);
+        capacity_.record_answer(service, *seen.answer_time, flow.had_free_slot);
+    }
+    if (seen.request)
+    {
+        capacity_.record_request(service, route->priority, now);
+        flow.had_free_slot = has_free_slot(*u);
+    }
+}
+
+// Whether the upstream has a slot for the request that has just started, which is included in its
+// pending requests. The load of other hosts on upstreams of other zones is not reported.
+bool edge_router::has_free_slot(known_upstream const& u) const
+{
+    return u.entry.zone == capacity_.own_zone() &&
+           flows_.load(u.token).pending_requests +
+                   fleet_.peer_load(u.token).mean_pending_requests <=
+               u.entry.slots;
+}
+
 // A missing answer alone does not move a SYN. If the fabric has just rerouted the flow to another
 // host, the answer went there, and the answer of a second upstream would misdirect the caller's
 // packets.
@@ -327,6 +368,7 @@
     flows_.expire(now, limit == duration{} ? default_idle_timeout : limit);
     health_.expire(now);
     overload_.expire(now);
+    capacity_.expire(now);
 }
 
 } // namespace chivelever
--- a/coordination/edge_router.hpp
+++ b/coordination/edge_router.hpp
@@ -9,12 +9,14 @@
 #include "coordination/flow_table.hpp"
 #include "coordination/overload_control.hpp"
 #include "coordination/placement.hpp"
+#include "coordination/service_capacity.hpp"
 #include "coordination/upstream_health.hpp"
 #include "state/state.hpp"
 
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -67,8 +69,10 @@
     std::uint32_t reset_sequence{}; // of a reset, within the caller's window
     std::uint32_t open_attempts{};  // upstreams that this SYN was sent to
     double refused_share{};         // share of this service's new flows refused at this priority
-    bool is_syn{};                  // the packet is a SYN
-    bool newly_suspected{};         // this packet caused `suspect` to become suspected
+    // Of a SYN on whose admission capacity_admission decided.
+    std::optional<admission_result> admission;
+    bool is_syn{};          // the packet is a SYN
+    bool newly_suspected{}; // this packet caused `suspect` to become suspected
     flow_token suspect;
     flow_observation seen;
     bool operator==(packet_decision const&) const = default;
@@ -86,9 +90,9 @@
 {
 public:
     edge_router(deployment_view& view, flow_table& flows, upstream_health& health, placement& place,
-                overload_control& overload, fleet_state const& fleet)
+                overload_control& overload, fleet_state const& fleet, service_capacity& capacity)
         : view_(view), flows_(flows), health_(health), place_(place), overload_(overload),
-          fleet_(fleet)
+          fleet_(fleet), capacity_(capacity)
     {
     }
 
@@ -124,6 +128,13 @@
                                              time_point now);
     packet_decision retry_elsewhere(flow_record& flow, flow_endpoints const& key, time_point now);
     packet_decision place_flow(caller_packet const& p, std::string_view raw, time_point now);
+    placement_choice choose_upstream(std::string const& service,
+                                     std::span<flow_token const> excluded, endpoint destination,
+                                     time_point now);
+    // Records the answer or the start of a request.
+    void record_request(flow_observation const& seen, flow_record& flow, endpoint destination,
+                        time_point now);
+    bool has_free_slot(known_upstream const& u) const;
     bool is_replaced(flow_record const& flow, caller_packet const& p) const;
     packet_decision handle_established(caller_packet const& p, time_point now);
     packet_decision forward_to(packet_decision d, flow_token token) const;
@@ -137,6 +148,7 @@
     placement& place_;
     overload_control& overload_;
     fleet_state const& fleet_;
+    service_capacity& capacity_;
     std::multimap<time_point, pending_open> pending_opens_; // by time of the next check
 };
 
--- a/coordination/flow_table.cpp
+++ b/coordination/flow_table.cpp
@@ -58,7 +58,10 @@
     upstream_load& load = loads_[flow.upstream.value];
     update_mean(load, now);
     if (load.pending_requests++ == 0)
+    {
         load.unanswered_since = now;
+        busy_.insert(flow.upstream.value);
+    }
 }
 
 void flow_table::finish_request(flow_record& flow, time_point now)
@@ -68,7 +71,8 @@
     flow.request_sent_at = {};
     upstream_load& load = loads_[flow.upstream.value];
     update_mean(load, now);
-    --load.pending_requests;
+    if (--load.pending_requests == 0)
+        busy_.erase(flow.upstream.value);
 }
 
 void flow_table::detach(flow_record& flow, time_point now)
--- a/coordination/flow_table.hpp
+++ b/coordination/flow_table.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <optional>
 #include <unordered_map>
+#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -37,6 +38,8 @@
     time_point last_data_at;    // of the caller's latest new bytes
     flow_phase phase{flow_phase::opening};
     std::uint8_t open_attempts{}; // upstreams that the SYN was sent to
+    // The upstream had a free slot when the latest request was placed, so that it did not wait.
+    bool had_free_slot{};
     bool operator==(flow_record const&) const = default;
 };
 
@@ -94,6 +97,8 @@
     // Exponential mean of the time that requests take to be answered; zero without answers.
     duration mean_answer_time() const { return mean_answer_time_; }
     std::unordered_map<std::uint32_t, upstream_load> const& loads() const { return loads_; }
+    // Upstreams with pending requests.
+    std::unordered_set<std::uint32_t> const& busy_upstreams() const { return busy_; }
     std::size_t size() const { return flows_.size(); }
 
 private:
@@ -109,6 +114,7 @@
 
     std::unordered_map<flow_endpoints, flow_record> flows_;
     std::unordered_map<std::uint32_t, upstream_load> loads_;
+    std::unordered_set<std::uint32_t> busy_; // those of loads_ with pending requests
     std::unordered_map<std::uint64_t, destination_usage> usage_; // by packed destination
     duration mean_answer_time_{};
 };
--- a/edge/edge_host.cpp
+++ b/edge/edge_host.cpp
@@ -56,14 +56,18 @@
                  random_seed(settings_)),
       peers_({settings_.ip, settings_.zone}, random_seed(settings_) + 1),
       directory_(random_seed(settings_) + 2),
-      router_(view_, flows_, health_, placement_, overload_, fleet_), store_(io, settings_.store),
-      signals_(io, SIGTERM, SIGINT, SIGHUP), retry_timer_(io)
+      admission_({settings_.admission == admission_policy::capacity}),
+      capacity_(admission_, settings_.zone, view_, flows_, health_, placement_, fleet_),
+      router_(view_, flows_, health_, placement_, overload_, fleet_, capacity_),
+      store_(io, settings_.store), signals_(io, SIGTERM, SIGINT, SIGHUP), retry_timer_(io)
 {
     fleet_.peer_load = [this](flow_token t) { return peers_.peer_load(t); };
     fleet_.zone_reachable = [this](std::string const& z)
     { return peers_.zone_reachable(z, boot_time_now()); };
     fleet_.zone_rank = [this](flow_token t)
     { return peers_.rank_in_zone(t.value, boot_time_now()); };
+    fleet_.load_on_service = [this](std::string const& service)
+    { return peers_.load_on_service(service, boot_time_now()); };
     fleet_.settled = false;
 }
 
@@ -151,7 +155,7 @@
                {
                    router_.expire(now);
                    peers_.expire(now);
-                   report_overload();
+                   report_overload(now);
                });
     call_every(probe_check_period, [this](time_point) { start_probes(); });
     call_every(log_flush_period, [](time_point) { log::flush(); });
--- a/edge/edge_host.hpp
+++ b/edge/edge_host.hpp
@@ -16,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,10 +44,14 @@
     void execute(packet_decision const& d, std::string_view packet, time_point now);
     metrics::counter& packet_counter(packet_action action, packet_reason reason);
     void log_decision(packet_decision const& d, std::string_view packet, time_point now);
+    void log_opening(packet_decision const& d, time_point now);
+    // Counts the decision of capacity_admission.
+    void count_admission(packet_decision const& d);
     void log_suspicion(packet_decision const& d);
     void send_due_retries();
     void arm_retry_timer();
-    void report_overload();
+    void report_overload(time_point now);
+    void add_capacity_gauges();
     void start_probes();
     boost::asio::awaitable<void> probe(std::vector<flow_token> upstreams);
     void report_probe(flow_token upstream, endpoint address, connection_outcome outcome,
@@ -75,6 +80,8 @@
     void on_heartbeat(std::string_view bytes, endpoint source);
     peer_heartbeat make_heartbeat(time_point now) const;
     std::string encode_local_heartbeat(peer_heartbeat b, time_point now) const;
+    // Loads of this host on services; empty unless the policy is admission by capacity.
+    std::vector<service_load> own_service_loads(time_point now);
     void send_heartbeats();
     void announce();
     // Asks the hosts of the zone whether any of the upstreams has answered them.
@@ -117,6 +124,8 @@
     host_directory directory_;
     fleet_state fleet_;
     overload_control overload_;
+    capacity_admission admission_;
+    service_capacity capacity_;
     edge_router router_;
 
     http_connection store_;
@@ -136,6 +145,7 @@
     std::map<std::string, double> overloaded_; // last reported: service -> refused share
     std::optional<bool> store_reachable_;
     std::optional<bool> was_ready_;
+    std::set<std::string> services_with_gauges_;
     std::map<std::string, std::uint64_t> logged_findings_; // finding text -> occurrences
 };
 
--- a/edge/edge_packets.cpp
+++ b/edge/edge_packets.cpp
@@ -121,9 +121,11 @@
     bool const usual = d.action == packet_action::forward && !d.is_syn;
     if (usual && request.empty())
         return;
+    if (d.is_syn)
+        return log_opening(d, now);
     view_version const v = view_.version();
     known_upstream const* const u = view_.find(d.token);
-    log::info(d.is_syn ? "flow.opening" : (usual ? "request.forwarded" : "packet.decided"),
+    log::info(usual ? "request.forwarded" : "packet.decided",
               {{"flow", to_text(d.flow)},
                {"request", std::string(request)},
                {"action", std::string(to_text(d.action))},
@@ -136,6 +138,43 @@
                {"view_age_ms", std::to_string(ms(now - v.confirmed_at))}});
 }
 
+// The fields on admission are empty unless capacity_admission decided.
+void edge_host::log_opening(packet_decision const& d, time_point now)
+{
+    if (d.admission)
+        count_admission(d);
+    auto const text = [&](std::string value) { return d.admission ? std::move(value) : ""; };
+    admission_result const a = d.admission.value_or(admission_result{});
+    view_version const v = view_.version();
+    known_upstream const* const u = view_.find(d.token);
+    log::info("flow.opening", {{"flow", to_text(d.flow)},
+                               {"request", ""},
+                               {"action", std::string(to_text(d.action))},
+                               {"reason", std::string(to_string(d.reason))},
+                               {"upstream", u != nullptr ? u->entry.name : ""},
+                               {"offers", std::to_string(d.open_attempts)},
+                               {"refused_share", format_fixed(d.refused_share)},
+                               {"admission", text(std::string(to_string(a.reason)))},
+                               {"pending", text(format_fixed(a.pending))},
+                               {"limit", text(format_fixed(a.limit))},
+                               {"report_age_ms", text(std::to_string(ms(a.age)))},
+                               {"config", std::to_string(v.config_version)},
+                               {"as_of", std::to_string(v.as_of)},
+                               {"view_age_ms", std::to_string(ms(now - v.confirmed_at))}});
+}
+
+void edge_host::count_admission(packet_decision const& d)
+{
+    route_entry const* const route = view_.route(d.flow.destination);
+    if (route == nullptr)
+        return;
+    metrics_.count("admissions_total", "decisions of admission by capacity",
+                   "service=\"" + placement_.pick_service(*route, d.flow) + "\",priority=\"" +
+                       std::to_string(route->priority) + "\",outcome=\"" +
+                       (d.admission->admitted ? "admitted" : "refused") + "\",reason=\"" +
+                       std::string(to_string(d.admission->reason)) + "\"")++;
+}
+
 void edge_host::log_suspicion(packet_decision const& d)
 {
     known_upstream const* const u = view_.find(d.suspect);
@@ -146,9 +185,11 @@
                {"cause", d.is_syn ? "SYN unanswered" : "request retransmitted"}});
 }
 
-void edge_host::report_overload()
+void edge_host::report_overload(time_point now)
 {
+    add_capacity_gauges();
     auto now_overloaded = overload_.overloaded();
+    now_overloaded.merge(capacity_.overloaded(now));
     for (auto const& [service, share] : now_overloaded)
         if (!overloaded_.contains(service))
             log::warning("service.overloaded",
@@ -159,6 +200,29 @@
     overloaded_ = std::move(now_overloaded);
 }
 
+// Gauges of the services to which admission by capacity applies, from when it first does.
+void edge_host::add_capacity_gauges()
+{
+    for (std::string const& service : capacity_.services())
+    {
+        if (!services_with_gauges_.insert(service).second)
+            continue;
+        auto const add =
+            [&](std::string const& name, std::string const& help, double capacity_status::*value)
+        {
+            metrics_.gauge(
+                name, help,
+                [this, service, value]
+                { return capacity_.status(service, boot_time_now()).*value; },
+                "service=\"" + service + "\"");
+        };
+        add("admission_pending", "unanswered requests of this host", &capacity_status::pending);
+        add("admission_limit", "limit of the lowest priority in use", &capacity_status::limit);
+        add("admission_demand_slots", "slots that the arrivals at this host need",
+            &capacity_status::demand);
+    }
+}
+
 void edge_host::start_probes()
 {
     packet_socket_->drain();
--- a/edge/edge_sync.cpp
+++ b/edge/edge_sync.cpp
@@ -345,6 +345,13 @@
         heartbeat_socket_->send({p.ip, settings_.peer_port}, bytes);
 }
 
+std::vector<service_load> edge_host::own_service_loads(time_point now)
+{
+    if (settings_.admission != admission_policy::capacity)
+        return {};
+    return capacity_.own_loads(peers_.reported_service_loads().loaded_services(now), now);
+}
+
 // Loads and suspected upstreams are sent only to hosts of the same zone, and only for its
 // upstreams: other zones rarely use these upstreams, and traffic between zones is expensive.
 void edge_host::send_heartbeats()
@@ -352,8 +359,11 @@
     time_point const now = boot_time_now();
     peer_heartbeat b = make_heartbeat(now);
     b.observed_hosts = peers_.sample_hosts(now);
+    auto const own = own_service_loads(now);
+    b.service_loads = own;
     std::string const full = encode_local_heartbeat(b, now);
     b.observed_hosts.resize(std::min(b.observed_hosts.size(), max_hosts_to_other_zones));
+    b.service_loads = peers_.reported_service_loads().zone_sums(own, now);
     std::string const brief = encode_heartbeat(b);
     for (peer_address const& p : peers_.heartbeat_targets())
         heartbeat_socket_->send({p.ip, settings_.peer_port},
--- a/tests/edge_fixture.hpp
+++ b/tests/edge_fixture.hpp
@@ -79,7 +79,9 @@
     fleet_state fleet{[](flow_token) { return upstream_load{}; },
                       [](std::string const&) { return true; }, [](flow_token) { return 0; }, 1};
     overload_control overload;
-    edge_router router{view, flows, health, place, overload, fleet};
+    capacity_admission admission;
+    service_capacity capacity{admission, "akl", view, flows, health, place, fleet};
+    edge_router router{view, flows, health, place, overload, fleet, capacity};
     time_point now{edge_start};
     std::vector<view_change> changes;
 
--- a/tests/edge_router_test.cpp
+++ b/tests/edge_router_test.cpp
@@ -293,7 +293,8 @@
     p.fin = true;
     CHECK(host.handle(p).reason == packet_reason::bad_flags);
     deployment_view empty;
-    edge_router fresh(empty, host.flows, host.health, host.place, host.overload, host.fleet);
+    edge_router fresh(empty, host.flows, host.health, host.place, host.overload, host.fleet,
+                      host.capacity);
     CHECK(fresh.handle(make_syn(2), "packet", host.now).reason == packet_reason::not_loaded);
 }
 
