--- a/coordination/deployment_view.cpp
+++ b/coordination/deployment_view.cpp
@@ -28,7 +28,7 @@
     h = hash_pair(h, hash_bytes(e.service));
     h = hash_pair(h, hash_bytes(e.zone));
     if (e.cold_left_ms > 0)
-        h = hash_pair(h, e.revision);
+        h = hash_pair(h, hash_pair(e.revision.era, e.revision.revision));
     return hash_pair(h, e.address.packed() << 8 | (e.slots & 0x7FU) << 1 | (e.draining ? 1U : 0U));
 }
 
--- a/tests/edge_support_test.cpp
+++ b/tests/edge_support_test.cpp
@@ -145,6 +145,11 @@
     auto const earlier = decode_heartbeat("[1,[10,\"akl\"],false,7,8,9,10,[],[],[]]");
     REQUIRE(earlier);
     CHECK(earlier->recovering.empty());
+    // A host of an earlier version sends no loads of services either.
+    CHECK(earlier->service_loads.empty());
+    b.service_loads = {{"desk", 22, 400, {{"akl", 31'500}, {"wlg", 250}}, {{1, 12'000}, {2, 70}}},
+                       {"bulk", 1, 0, {}, {}}};
+    CHECK(decode_heartbeat(encode_heartbeat(b)) == b);
 
     operator_listing o = make_operators(30, 4, {desk_route, bulk_route});
     o.evacuated_zones = {"wlg"};
@@ -204,6 +209,16 @@
     problems.clear();
     CHECK_FALSE(parse_edge_settings("", "boot.ini", problems));
     CHECK(problems.size() >= 6);
+
+    // A misspelt policy must not fall back to the default without a finding.
+    CHECK(s->admission == admission_policy::answer_time);
+    std::string const policy = good + "[admission]\npolicy = ";
+    CHECK(parse_edge_settings(policy + "capacity\n", "boot.ini", problems)->admission ==
+          admission_policy::capacity);
+    problems.clear();
+    CHECK_FALSE(parse_edge_settings(policy + "capcity\n", "boot.ini", problems));
+    REQUIRE(problems.size() == 1);
+    CHECK(problems[0].key == "policy");
 }
 
 } // namespace chivelever
