--- a/tests/service_capacity_test.cpp
+++ b/tests/service_capacity_test.cpp
@@ -185,6 +185,7 @@
     for (std::uint64_t const seed : {3, 4})
     {
         std::vector<upstream_entry> upstreams;
+        upstreams.reserve(12);
         for (int i = 0; i < 12; ++i)
             upstreams.push_back(make_upstream(i));
         capacity_host h(upstreams);
@@ -269,7 +270,7 @@
         h.now = now_;
         h.others.demands = {{"akl", hosts_per_zone, 0, {}, {}, false}};
         packet_decision const d = h.handle(make_syn(++callers_));
-        std::string const zone = h.view.find(d.token)->entry.zone;
+        std::string zone = h.view.find(d.token)->entry.zone;
         auto& free_at = free_at_[zone];
         auto const slot = std::ranges::min_element(free_at);
         *slot = std::max(*slot, now_) + service_time;
