Restore the store from a backup in the fault soak

Cause: the stand-in's store never lost acknowledged writes.

The operators and upstreams write again within 2 s.

--- a/standins/users_platform.py
+++ b/standins/users_platform.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import base64
+import collections
+import copy
 import json
 import random
 import re
@@ -92,6 +94,7 @@
     crossed (the listing of another prefix) or garbage (bytes that are no answer)."""
 
     PAGE_ITEMS = 4  # few, so that a page may end at any entry
+    BACKUP_INTERVAL_S, BACKUPS = 0.5, 20
 
     def __init__(self):
         self.items = {}
@@ -102,6 +105,28 @@
         self.leases = {}  # id -> (expiry, keys, duration in ms)
         self.last_lease_id = 0
         self.lost = 0.0  # share of writes that are applied but not answered
+        self.era = 1
+        self.backups = collections.deque(maxlen=self.BACKUPS)
+        self.down = False
+
+    def back_up(self):
+        leases = {i: (end, set(keys), length) for i, (end, keys, length) in self.leases.items()}
+        self.backups.append((time.monotonic(), self.revision, copy.deepcopy(self.items), leases, self.last_lease_id))
+
+    def restore(self, age_s):
+        """Restores the newest backup that is at least this old. The next era begins: revisions and lease ids are
+        reused, and what the hosts and their leases have written since then is gone. Returns the keys that differ."""
+        usable = [b for b in self.backups if b[0] <= time.monotonic() - age_s] or list(self.backups)[:1]
+        if not usable:
+            return []
+        before = self.items
+        _, self.revision, self.items, leases, self.last_lease_id = copy.deepcopy(usable[-1])
+        # The leases expire as if the store had not been away.
+        self.leases = leases
+        self.era += 1
+        self.backups.clear()
+        return [(k, before.get(k)) for k in sorted(set(before) | set(self.items))
+                if (before[k].value if k in before else None) != (self.items[k].value if k in self.items else None)]
 
     def put(self, key, value):
         self.revision += 1
@@ -142,7 +167,7 @@
             await asyncio.sleep(0.002 + delay)
             if mode == "silent":
                 await asyncio.sleep(3600)
-            if mode == "reset":
+            if mode == "reset" or self.down:
                 writer.transport.abort()
                 return
             if not request:
@@ -159,8 +184,8 @@
             text = json.dumps(answer).encode()
             if mode == "garbage":
                 text = random.choice((text[:len(text) // 2], b'{"items":7}', b"[" * 4000, random.randbytes(300)))
-            message = (f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nContent-Length: {len(text)}"
-                       "\r\n\r\n").encode() + text
+            message = (f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: {self.era}\r\n"
+                       f"Content-Length: {len(text)}\r\n\r\n").encode() + text
             writer.write(message)
             await writer.drain()
             if mode == "twice":
@@ -228,6 +253,7 @@
         self.sequence = 0
         self.slots = asyncio.Semaphore(4)
         self.syn_count = 0
+        self.rewrite_at = 0.0  # after a restore of the store: when it notices
 
     async def start(self):
         self.udp = await open_udp(self.ip, self.port, self.receive)
@@ -236,7 +262,7 @@
 
     def publish_entry(self):
         """Writes the entry to the store if more than its sequence number changed."""
-        if not self.alive:
+        if not self.alive or time.monotonic() < self.rewrite_at:
             return
         self.sequence += 1
         entry = {"service": self.service, "address": f"{self.ip}:{self.port}", "zone": self.zone, "version": "v1",
@@ -485,6 +511,8 @@
 class World:
     """All simulated components: everything but the chivelever-edge hosts."""
 
+    REWRITE_LIMIT_S = 2.0
+
     def __init__(self, zones, hosts_per_zone, port, seed):
         random.seed(seed)
         self.zones = zones
@@ -537,7 +565,8 @@
             {"name": f"r{i}", "host": h, "prefix": f"/{p}/", "type": "idempotent", "timeoutMs": 3000,
              "targetLatencyMs": 200, "priority": 1, "service": s, "attempts": 2}
             for i, ((h, p), s) in enumerate(routes.items())]}
-        self.store.put("op/config", json.dumps(config).encode())
+        self.config_text = json.dumps(config).encode()
+        self.store.put("op/config", self.config_text)
 
     def evacuate(self, zone, on):
         if on:
@@ -546,6 +575,39 @@
             self.evacuated_at.pop(zone, None)
             self.store.remove(f"op/evacuate/{zone}")
 
+    async def restore_store(self, age_s, down_s):
+        """The store is unavailable for a moment, then restored from a backup. Operators and upstreams write again
+        what was lost, up to REWRITE_LIMIT_S later; upstreams that have stopped since then expire again."""
+        self.store.down = True
+        await asyncio.sleep(down_s)
+        lost = self.store.restore(age_s)
+        self.store.down = False
+        by_key = {f"servers/{u.id}": u for u in self.upstreams}
+        for u in self.upstreams:
+            u.rewrite_at = time.monotonic() + random.uniform(0, self.REWRITE_LIMIT_S)
+
+        async def write_again(key, item):
+            await asyncio.sleep(random.uniform(0, self.REWRITE_LIMIT_S))
+            if key.startswith("op/evacuate/"):
+                zone = key.removeprefix("op/evacuate/")
+                if zone in self.evacuated_at:
+                    self.evacuated_at[zone] = self.store.put(key, b"{}")
+                else:
+                    self.store.remove(key)
+            elif key == "op/config":
+                self.store.put(key, self.config_text)
+            elif key in by_key and not by_key[key].alive:
+                self.store.remove(key)
+            elif key.startswith("servers/") and key not in by_key and item is not None:
+                self.store.put(key, item.value)
+
+        await asyncio.gather(*(write_again(k, i) for k, i in lost))
+
+    async def keep_backups(self):
+        while True:
+            self.store.back_up()
+            await asyncio.sleep(self.store.BACKUP_INTERVAL_S)
+
     def impair(self, seconds):
         """Suspends the checks of time limits for the given time and four seconds after it."""
         self.impaired_until = max(self.impaired_until, time.monotonic() + seconds + 4.0)
@@ -590,6 +652,7 @@
                 await self.add_upstream(zone, service, f"127.{i + 1}.1.{n + 1}")
         self.configure({("198.18.0.1", 443): "desk", ("198.18.0.1", 8080): "bulk", ("198.18.0.2", 443): "desk"})
         self.tasks.append(asyncio.ensure_future(self.heartbeats()))
+        self.tasks.append(asyncio.ensure_future(self.keep_backups()))
         for i, zone in enumerate(self.zones):
             router = Router(zone, self.hosts[zone], self.packet_port, self.ready_port)
             self.tasks += [asyncio.ensure_future(router.poll_readiness(h)) for h in router.hosts]
