Log the era of the store with each opening

Cause: positions in the store became pairs of era and revision while the fields of openings were extended, and the joined code did not compile. Change: flow.opening logs the revision as as_of, and the era of the store beside it. Result: chivelever-edge builds; after a restore of the store an operator can tell positions of two eras apart.

--- a/edge/edge_packets.cpp
+++ b/edge/edge_packets.cpp
@@ -162,7 +162,8 @@
                                {"limit", text(format_fixed(a.limit))},
                                {"report_age_ms", text(std::to_string(ms(a.age)))},
                                {"config", std::to_string(v.config_version)},
-                               {"as_of", std::to_string(v.as_of)},
+                               {"as_of", std::to_string(v.as_of.revision)},
+                               {"era", std::to_string(v.as_of.era)},
                                {"view_age_ms", std::to_string(ms(now - v.confirmed_at))}});
 }
 
