Use a while loop for the reports of the replay

Cause: clang-tidy rejects a loop counter of floating point type. Change: a while loop with the same steps.

--- a/tests/admission_replay_test.cpp
+++ b/tests/admission_replay_test.cpp
@@ -159,8 +159,11 @@
     {
         event const e = events_.top();
         events_.pop();
-        for (; next_report <= e.at; next_report += report_period_ms)
+        while (next_report <= e.at)
+        {
             exchange_reports(next_report);
+            next_report += report_period_ms;
+        }
         if (e.upstream == no_upstream)
             arrive(e.at);
         else
