--- a/coordination/peer_exchange.cpp
+++ b/coordination/peer_exchange.cpp
@@ -294,13 +294,13 @@
     for (auto const& [zone, heard] : zone_heard_)
         reachable[zone] = zone_reachable(zone, now);
     std::uint64_t const mine = hash_pair(own.as_of.revision, self_.ip);
-    auto const rank = std::ranges::count_if(peers_,
-                                            [&](auto const& item)
-                                            {
-                                                return hash_pair(own.as_of.revision, item.first) < mine &&
-                                                       is_alive(item.second, now) &&
-                                                       reachable[item.second.zone];
-                                            });
+    auto const rank =
+        std::ranges::count_if(peers_,
+                              [&](auto const& item)
+                              {
+                                  return hash_pair(own.as_of.revision, item.first) < mine &&
+                                         is_alive(item.second, now) && reachable[item.second.zone];
+                              });
     duration const gap =
         std::clamp<duration>(read_time_ * read_gap_factor, min_read_gap, max_read_gap);
     duration const delay = gap * rank;
@@ -357,8 +357,8 @@
     {
         // A restored store may list an older configuration for a few seconds.
         bool const later_era = p.view.as_of.era > own.as_of.era;
-        bool const differs = later_era || p.view.digest != own.digest ||
-                             p.view.config_version != own.config_version;
+        bool const differs =
+            later_era || p.view.digest != own.digest || p.view.config_version != own.config_version;
         if (p.last_heard != time_point{} && now - p.last_heard < local_alive_timeout &&
             is_alive(p, now) && p.view.config_version != 0 &&
             (later_era || p.view.config_version >= own.config_version) && differs &&
