--- a/tests/service_loads_test.cpp
+++ b/tests/service_loads_test.cpp
@@ -139,9 +139,9 @@
     constexpr std::uint32_t most = 0xFFFFFFFF;
     h.hear(2, "akl", {make_load(most, most, most, most)});
     h.hear(3, "akl", {make_load(most, most, 0, most)});
-    std::vector<service_load> many;
-    for (int i = 0; i < 1000; ++i)
-        many.push_back({"service" + std::to_string(i), 1, 0, {}, {{1, 1}}});
+    std::vector<service_load> many(1000);
+    for (std::size_t i = 0; i < many.size(); ++i)
+        many[i] = {"service" + std::to_string(i), 1, 0, {}, {{1, 1}}};
     h.hear(4, "wlg", many);
     auto const sums = h.peers.reported_service_loads().zone_sums({make_load(1, 1)}, h.now);
     CHECK(sums == std::vector{make_load(most, most, most, most)});
