Use the terms of the field in the comments of the admission library

Cause: comments spoke of room and greed where capacity and overuse are meant. Change: comments only.

--- a/admission/caller_share.cpp
+++ b/admission/caller_share.cpp
@@ -19,7 +19,7 @@
 // Searching for callers to remove while the table is full is limited to once per this time.
 constexpr duration min_expire_period = 250ms;
 // A caller may always have this many openings per second. Its requests have no other origin, and a
-// count of one or two openings is no evidence of greed.
+// count of one or two openings does not show overuse.
 constexpr double min_share = 2;
 // A caller with a lower count is removed: three seconds after a single opening.
 constexpr double min_count = 0.05;
--- a/admission/caller_share.hpp
+++ b/admission/caller_share.hpp
@@ -1,4 +1,4 @@
-// Keeps a few callers from taking the room of all others while a service is short of capacity.
+// Keeps a few callers from using the capacity of all others while a service is overloaded.
 #ifndef CHIVELEVER_ADMISSION_CALLER_SHARE_HPP
 #define CHIVELEVER_ADMISSION_CALLER_SHARE_HPP
 
--- a/admission/capacity_admission.hpp
+++ b/admission/capacity_admission.hpp
@@ -1,7 +1,7 @@
-// Admission of new flows by the room that the upstreams of a service have. Answers the load at
-// which more requests arrive than all slots can process: requests without room are refused at once,
-// the lowest priority first, before they reach an upstream, and room is shared by max-min fairness
-// among data centres and callers.
+// Admission of new flows by the free capacity of a service. Answers the load at which more requests
+// arrive than all slots can process: requests without capacity are refused at once, the lowest
+// priority first, before they reach an upstream, and capacity is shared by max-min fairness among
+// zones and callers.
 //
 // Decides only; reads no clock and opens no socket.
 #ifndef CHIVELEVER_ADMISSION_CAPACITY_ADMISSION_HPP
