--- a/review/support-2/deployment.py
+++ b/review/support-2/deployment.py
@@ -60,16 +60,17 @@
 
 
 class Store(platform.Store):
-    """Answers reads that may be stale from a snapshot, and can be slow: half of the delay passes before the call is
-    carried out, half before its answer is sent."""
+    """Can be slow: calls wait for `delay_s` and are then carried out and answered. Reads that may be stale are answered
+    from a snapshot that is `stale_s` old, or from the present state if it is None."""
 
     PAGE_ITEMS = 500
-    SNAPSHOT_INTERVAL_S, STALE_S = 0.1, 0.5
+    SNAPSHOT_INTERVAL_S = 0.1
     ANSWER_S = 0.004
 
     def __init__(self):
         super().__init__()
         self.delay_s = self.ANSWER_S
+        self.stale_s = 0.5
         self.snapshots = collections.deque(maxlen=30)
         self.on_call = lambda ip, target: None  # called with the store address and the target of each call
 
@@ -79,9 +80,9 @@
             await asyncio.sleep(self.SNAPSHOT_INTERVAL_S)
 
     def answer(self, method, target, body):
-        if "allowStale=1" not in target:
+        if "allowStale=1" not in target or self.stale_s is None:
             return super().answer(method, target, body)
-        usable = [s for s in self.snapshots if s[0] <= time.monotonic() - self.STALE_S]
+        usable = [s for s in self.snapshots if s[0] <= time.monotonic() - self.stale_s]
         if not usable:
             return super().answer(method, target, body)
         now = self.revision, self.items
@@ -103,19 +104,13 @@
             body = await reader.readexactly(length)
             method, target, _ = lines[0].split(" ")
             self.on_call(ip, target)
-            delay = self.delay_s
-            await asyncio.sleep(delay / 2)
+            await asyncio.sleep(self.delay_s)
             if self.down:
                 writer.transport.abort()
                 return
             status, answer = self.answer(method, target, body)
-            era = self.era
-            await asyncio.sleep(delay / 2)
-            if self.down:
-                writer.transport.abort()
-                return
             text = json.dumps(answer).encode()
-            writer.write((f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: {era}\r\n"
+            writer.write((f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\nStore-Era: {self.era}\r\n"
                           f"Content-Length: {len(text)}\r\n\r\n").encode() + text)
             await writer.drain()
 
