--- a/review/support-2/deployment.py
+++ b/review/support-2/deployment.py
@@ -29,8 +29,6 @@
 class CouldNotRun(Exception):
     """The machine lacks what the case needs."""
 
-    pass
-
 
 def fill_template(text, fields):
     """Fills in the placeholders of the settings template, as DEPLOY.md describes them."""
@@ -200,6 +198,10 @@
     def record_opening(self, server, p):
         self.note(f"opening from {platform.ip_text(p.src)}:{p.sport} reached {server.id} of {server.zone}")
 
+    def record_run(self, upstream, request, route):
+        self.note(f"request {request} runs at {upstream.id}")
+        super().record_run(upstream, request, route)
+
     # --- the platform
 
     def restore_backup(self, age_s):
