--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+cd "$(dirname "$0")" && exec python3 -B case.py
--- a/review/support-2/deployment.py
+++ b/review/support-2/deployment.py
@@ -337,6 +337,8 @@
 def run_case(directory, case):
     """Runs case(trouble) -> (world, broken lines), writes record.txt and returns the exit code."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    seed = int(os.environ.get("SEED", random.SystemRandom().randrange(10 ** 6)))
+    random.seed(seed)
     record = os.path.join(directory, "record.txt")
     world = {}
 
@@ -346,6 +348,7 @@
     code, summary = COULD_NOT_RUN, []
     try:
         broken, summary = asyncio.run(guarded())
+        summary.insert(0, f"seed {seed}")
         code = BROKEN if broken else HELD
     except Exception as e:  # whatever stops the case, the rule was not tested
         summary = [f"could not run: {type(e).__name__}: {e}"]
