--- a/review/8/case.py
+++ b/review/8/case.py
@@ -72,4 +72,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(d.run_case(HERE, case))
+    sys.exit(d.run_case(os.path.join(HERE, sys.argv[1]), case))
--- a/review/support-2/deployment.py
+++ b/review/support-2/deployment.py
@@ -334,12 +334,12 @@
     return best
 
 
-def run_case(directory, case):
-    """Runs case(trouble) -> (world, broken lines), writes record.txt and returns the exit code."""
+def run_case(record, case):
+    """Runs case(trouble, context), which returns whether the rule was broken and the lines of the summary. Writes the file
+    `record` and returns the exit code."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     seed = int(os.environ.get("SEED", random.SystemRandom().randrange(10 ** 6)))
     random.seed(seed)
-    record = os.path.join(directory, "record.txt")
     world = {}
 
     async def guarded():
