Agree within a zone on the upstream of a SYN that several hosts receive

Cause: the host reads the SYNs that waited at its socket and placed each as a new flow, although the caller's copy had opened the flow through another host. Two upstreams answer; the one that lost repeats its SYN+ACK for ten seconds, the caller echoes its token, and a host without memory of the flow forwards by it. Evidence: for each flow, `flow.opening` with reason=placed at two hosts, and the packet that was reset went by_token to the second upstream. Ruled out: loss (none in this case) and moves by one host (one of the three flows had one, at the host that had stood still).

Change: a copy of an unknown flow, and a SYN that waited for 180 ms or more, is held for up to 30 ms while the hosts of the zone are asked. A SYN whose caller has given up is dropped. A flow whose SYN may have reached two upstreams is reported to the zone and to hosts that start later, which go by the report and not by the token. A copy that was sent before the upstream could answer no longer counts as its failure. The age of a datagram comes from the kernel's time stamp, bounded by the time since the socket was last empty. A late SYN of a flow that this host knows by token only no longer replaces its record.

--- a/bench/edge_packet.cpp
+++ b/bench/edge_packet.cpp
@@ -39,7 +39,7 @@
         {
             flow_token const t = make_flow_token(upstreams[random() % upstream_count].name);
             packets.push_back(make_data(caller, t, 1001, 5000, 0));
-            host.flows.add_existing(packets.back(), host.now);
+            host.flows.add_existing(packets.back(), packets.back().token, host.now);
         }
         bytes_per_flow = static_cast<double>(::mallinfo2().uordblks - before) / flows;
         std::shuffle(packets.begin(), packets.end(), random);
@@ -60,7 +60,7 @@
             p.sequence += 100;
             p.acknowledged += 1000;
         }
-        benchmark::DoNotOptimize(h.host.router.handle(p, {}, h.host.now));
+        benchmark::DoNotOptimize(h.host.router.handle({p, {}}, h.host.now));
         i = i + 1 == h.packets.size() ? 0 : i + 1;
     }
     state.counters["bytes_per_flow"] = h.bytes_per_flow;
@@ -87,7 +87,7 @@
     for ([[maybe_unused]] auto _ : state)
     {
         caller_packet const p = make_syn(++caller);
-        benchmark::DoNotOptimize(h.host.router.handle(p, {}, h.host.now));
+        benchmark::DoNotOptimize(h.host.router.handle({p, {}}, h.host.now));
         h.host.flows.erase(p.flow, h.host.now);
         h.host.advance(std::chrono::microseconds(37)); // 27,000 new flows per second
         h.host.router.retries_due(h.host.now);
--- a/coordination/coordination.hpp
+++ b/coordination/coordination.hpp
@@ -11,6 +11,7 @@
 #include "coordination/config_rules.hpp"
 #include "coordination/deployment_view.hpp"
 #include "coordination/edge_router.hpp"
+#include "coordination/flow_owners.hpp"
 #include "coordination/flow_table.hpp"
 #include "coordination/host_directory.hpp"
 #include "coordination/ledger.hpp"
--- a/coordination/edge_router.cpp
+++ b/coordination/edge_router.cpp
@@ -1,7 +1,6 @@
 #include "coordination/edge_router.hpp"
 
 #include <algorithm>
-#include <cstdlib>
 
 namespace chivelever
 {
@@ -11,17 +10,6 @@
 
 using namespace std::chrono_literals;
 
-// An unanswered SYN counts as a failure of its upstream after this time. A round trip across two
-// zones takes 9 ms, and a SYN does not wait for a slot.
-constexpr duration open_answer_timeout = 60ms;
-// Interval between checks of an unanswered SYN.
-constexpr duration pending_open_recheck = 20ms;
-// Checks of an unanswered SYN end at this age, shortly before the caller retransmits it after 200
-// ms. Each retransmission starts them again, and the next one follows after 400 ms.
-constexpr duration max_pending_open_age = 190ms;
-constexpr duration max_retransmitted_open_age = 380ms;
-// The first upstream and two more, which is as many as the flow record can exclude.
-constexpr std::uint32_t max_open_attempts = 3;
 // An unknown route is reset only under a configuration confirmed this recently; an older one may
 // lack a route that was just added.
 constexpr duration recent_config_age = 2s;
@@ -33,8 +21,6 @@
 constexpr duration min_stall_timeout = 100ms;
 // Under load all answers are slow; a stall is a multiple of what they take on average.
 constexpr int stall_timeout_answers = 2;
-// Four times what a caller has in flight at most: 16 packets of 1,200 bytes.
-constexpr std::int64_t max_sequence_distance = 76'800;
 // Longer than callers keep idle flows; used until a configuration sets a limit.
 constexpr duration default_idle_timeout = 60s;
 
@@ -43,10 +29,10 @@
 std::string_view to_string(packet_reason r)
 {
     constexpr std::array<std::string_view, packet_reason_count> names{
-        "placed",    "offered_again",        "by_flow",       "by_token",        "not_loaded",
-        "no_route",  "no_route_unconfirmed", "no_upstream",   "only_cold",       "unknown_token",
-        "no_token",  "route_removed",        "upstream_gone", "upstream_silent", "bad_flags",
-        "overloaded"};
+        "placed",     "offered_again",        "by_flow",       "by_token",        "not_loaded",
+        "no_route",   "no_route_unconfirmed", "no_upstream",   "only_cold",       "unknown_token",
+        "no_token",   "route_removed",        "upstream_gone", "upstream_silent", "bad_flags",
+        "overloaded", "asking_zone",          "by_report",     "outdated_syn"};
     return names[static_cast<std::size_t>(r)];
 }
 
@@ -97,8 +83,9 @@
     return d;
 }
 
-packet_decision edge_router::handle(caller_packet const& p, std::string_view raw, time_point now)
+packet_decision edge_router::handle(received_packet const& in, time_point now)
 {
+    caller_packet const& p = in.header;
     packet_decision d;
     d.flow = p.flow;
     d.reset_sequence = p.acknowledged;
@@ -110,131 +97,7 @@
         d.reason = packet_reason::bad_flags;
         return d;
     }
-    return p.syn ? handle_syn(p, raw, now) : handle_established(p, now);
-}
-
-packet_decision edge_router::handle_syn(caller_packet const& p, std::string_view raw,
-                                        time_point now)
-{
-    flow_record* const flow = flows_.find(p.flow);
-    if (flow != nullptr && flow->first_sequence == p.sequence)
-        return handle_retransmitted_syn(*flow, p, raw, now);
-    return place_flow(p, raw, now);
-}
-
-// A retransmitted SYN means that the caller has no answer. If the flow has opened in the meantime,
-// the retransmission is outdated. Otherwise it moves only if there is another sign that the
-// upstream is down or full: if only the SYN+ACK was lost, a second upstream would answer as well,
-// and the caller would go on to echo the token of the one at which the flow is not open.
-packet_decision edge_router::handle_retransmitted_syn(flow_record& flow, caller_packet const& p,
-                                                      std::string_view raw, time_point now)
-{
-    packet_decision d;
-    d.flow = p.flow;
-    d.is_syn = true;
-    d.open_attempts = flow.open_attempts;
-    // In a SYN, `acknowledged` is the number of earlier transmissions.
-    d.reason = packet_reason::by_flow;
-    if (flow.phase == flow_phase::opening && p.acknowledged > 0 && view_.route(p.flow.destination))
-    {
-        std::uint64_t const id = hash_value(p.flow);
-        flow_token const first = flow.upstream;
-        if (health_.has_other_failure(first, id, flow.opened, now))
-            d = retry_elsewhere(flow, p.flow, now);
-        else
-        {
-            d.newly_suspected = record_failure(first, id, now);
-            d.suspect = first;
-        }
-        // The failure of `first` is recorded; another upstream gets the time for its answer.
-        bool const moved = flow.upstream != first;
-        pending_opens_.emplace(now + (moved ? open_answer_timeout : pending_open_recheck),
-                               pending_open{p.flow, p.sequence, first, std::string(raw),
-                                            now + max_retransmitted_open_age});
-    }
-    return forward_to(d, flow.upstream);
-}
-
-packet_decision edge_router::retry_elsewhere(flow_record& flow, flow_endpoints const& key,
-                                             time_point now)
-{
-    packet_decision d;
-    d.flow = key;
-    d.is_syn = true;
-    d.newly_suspected = record_failure(flow.upstream, hash_value(key), now);
-    d.suspect = flow.upstream;
-    route_entry const* const route = view_.route(key.destination);
-    if (flow.open_attempts < max_open_attempts && route != nullptr)
-    {
-        std::array<flow_token, 3> const excluded{flow.tried[0], flow.tried[1], flow.upstream};
-        auto const choice =
-            choose_upstream(place_.pick_service(*route, key), excluded, key.destination, now);
-        if (choice.upstream.value != 0)
-            flows_.reassign(flow, choice.upstream, now);
-    }
-    d.open_attempts = flow.open_attempts;
-    d.reason = packet_reason::offered_again;
-    return forward_to(d, flow.upstream);
-}
-
-placement_choice edge_router::choose_upstream(std::string const& service,
-                                              std::span<flow_token const> excluded,
-                                              endpoint destination, time_point now)
-{
-    return place_.choose({service, excluded, flows_.carries_long_flows(destination),
-                          capacity_.placement_loads(service, now)},
-                         view_, flows_, health_, fleet_, now);
-}
-
-packet_decision edge_router::place_flow(caller_packet const& p, std::string_view raw,
-                                        time_point now)
-{
-    packet_decision d;
-    d.flow = p.flow;
-    d.is_syn = true;
-    route_entry const* const route = view_.route(p.flow.destination);
-    if (route == nullptr)
-    {
-        bool const recent = config_is_recent(now);
-        d.action = recent ? packet_action::reset : packet_action::drop;
-        d.reason = recent ? packet_reason::no_route : packet_reason::no_route_unconfirmed;
-        return d;
-    }
-    std::string const& service = place_.pick_service(*route, p.flow);
-    capacity_.record_opening(service, *route, now);
-    bool const by_capacity = capacity_.applies_to(service);
-    if (by_capacity)
-        d.admission = capacity_.admit(service, *route, p.flow.caller, now);
-    if (d.admission && !d.admission->admitted)
-    {
-        d.action = packet_action::reset;
-        d.reason = packet_reason::overloaded;
-        return d;
-    }
-    auto const choice = choose_upstream(service, {}, p.flow.destination, now);
-    if (choice.upstream.value == 0)
-    {
-        // A cold upstream accepts more within a second, and the caller retransmits its SYN. With no
-        // upstream at all, the flow is reset at once if the configuration is recent.
-        bool const cold = choice.candidates > 0;
-        d.action = cold || !config_is_recent(now) ? packet_action::drop : packet_action::reset;
-        d.reason = cold ? packet_reason::only_cold_upstreams : packet_reason::no_upstream;
-        return d;
-    }
-    if (!by_capacity && !overload_.admits(service, route->priority, p.flow.caller, now))
-    {
-        d.action = packet_action::reset;
-        d.reason = packet_reason::overloaded;
-        d.refused_share = overload_.refused_share(service, route->priority);
-        return d;
-    }
-    flows_.open(p.flow, choice.upstream, p.sequence, now);
-    pending_opens_.emplace(
-        now + open_answer_timeout,
-        pending_open{p.flow, p.sequence, {}, std::string(raw), now + max_pending_open_age});
-    d.open_attempts = 1;
-    d.reason = packet_reason::placed;
-    return forward_to(d, choice.upstream);
+    return p.syn ? handle_syn(in, now) : handle_established(p, now);
 }
 
 // Whether the packet belongs to a later flow from the same address and port, which was opened
@@ -244,9 +107,7 @@
     if (flow.phase == flow_phase::opening || p.token.value == 0 || p.token == flow.upstream ||
         view_.find(p.token) == nullptr)
         return false;
-    auto const distance =
-        static_cast<std::int64_t>(static_cast<std::int32_t>(p.sequence - flow.next_sequence));
-    return std::abs(distance) > max_sequence_distance;
+    return !in_sequence_window(p.sequence, flow.next_sequence);
 }
 
 packet_decision edge_router::handle_established(caller_packet const& p, time_point now)
@@ -258,21 +119,30 @@
     if (flow != nullptr && is_replaced(*flow, p))
         flow = nullptr;
     bool const known = flow != nullptr;
+    // The echoed token is that of the upstream that answered last. If the SYN reached several, the
+    // zone knows at which one the flow is open.
+    flow_token const reported = owners_.find(p.flow, p.sequence);
+    bool const is_reported = view_.find(reported) != nullptr;
+    flow_token const token = is_reported ? reported : p.token;
     if (!known)
     {
-        if (p.token.value == 0 || p.rst || view_.find(p.token) == nullptr)
+        if (token.value == 0 || p.rst || view_.find(token) == nullptr)
         {
-            d.reason = p.token.value == 0 ? packet_reason::no_token : packet_reason::unknown_token;
-            return p.rst && p.token.value != 0 ? forward_to(d, p.token) : d;
+            d.reason = token.value == 0 ? packet_reason::no_token : packet_reason::unknown_token;
+            return p.rst && token.value != 0 ? forward_to(d, token) : d;
         }
-        flow = &flows_.add_existing(p, now);
+        flow = &flows_.add_existing(p, token, now);
     }
     // The first packet after the handshake echoes the token of the upstream that the caller chose.
     // Later echoes may change when another upstream that received the same SYN answers as well.
-    if (flow->phase == flow_phase::opening && p.token.value != 0 && p.token != flow->upstream &&
-        view_.find(p.token) != nullptr)
-        flows_.reassign(*flow, p.token, now);
-    d.reason = known ? packet_reason::by_flow : packet_reason::by_token;
+    if (flow->phase == flow_phase::opening && token.value != 0 && token != flow->upstream &&
+        view_.find(token) != nullptr)
+        flows_.reassign(*flow, token, now);
+    d.reason = known         ? packet_reason::by_flow
+               : is_reported ? packet_reason::by_report
+                             : packet_reason::by_token;
+    if (p.ack && owners_.is_first_of_contested(p.flow, p.sequence) && !is_reported)
+        owners_.report({p.flow, p.sequence - 1, flow->upstream, true}, now);
     record_observation(d, *flow, p, now);
     if (p.rst)
     {
@@ -343,37 +213,6 @@
                u.entry.slots;
 }
 
-// A missing answer alone does not move a SYN. If the fabric has just rerouted the flow to another
-// host, the answer went there, and the answer of a second upstream would misdirect the caller's
-// packets.
-std::vector<syn_retry> edge_router::retries_due(time_point now)
-{
-    update_staleness(now);
-    std::vector<syn_retry> out;
-    while (!pending_opens_.empty() && pending_opens_.begin()->first <= now)
-    {
-        pending_open pending = std::move(pending_opens_.extract(pending_opens_.begin()).mapped());
-        flow_record* const flow = flows_.find(pending.flow);
-        if (flow == nullptr || flow->phase != flow_phase::opening ||
-            flow->first_sequence != pending.sequence)
-            continue;
-        if (pending.failure_reported_for != flow->upstream)
-            record_failure(flow->upstream, hash_value(pending.flow), now);
-        pending.failure_reported_for = flow->upstream;
-        time_point next = now + pending_open_recheck;
-        if (health_.fails_probes(flow->upstream))
-        {
-            packet_decision const d = retry_elsewhere(*flow, pending.flow, now);
-            if (d.action == packet_action::forward)
-                out.push_back({d, pending.packet});
-            next = now + open_answer_timeout;
-        }
-        if (flow->open_attempts < max_open_attempts && now < pending.check_until)
-            pending_opens_.emplace(next, std::move(pending));
-    }
-    return out;
-}
-
 std::vector<flow_token> edge_router::probes_due(time_point now)
 {
     update_staleness(now);
@@ -417,15 +256,11 @@
     return resets;
 }
 
-time_point edge_router::next_retry_at() const
-{
-    return pending_opens_.empty() ? time_point{} : pending_opens_.begin()->first;
-}
-
 void edge_router::expire(time_point now)
 {
     duration const limit = view_.idle_limit();
     flows_.expire(now, limit == duration{} ? default_idle_timeout : limit);
+    owners_.expire(now);
     health_.expire(now);
     overload_.expire(now);
     capacity_.expire(now);
--- a/coordination/edge_router.hpp
+++ b/coordination/edge_router.hpp
@@ -6,6 +6,7 @@
 #define CHIVELEVER_COORDINATION_EDGE_ROUTER_HPP
 
 #include "coordination/deployment_view.hpp"
+#include "coordination/flow_owners.hpp"
 #include "coordination/flow_table.hpp"
 #include "coordination/overload_control.hpp"
 #include "coordination/placement.hpp"
@@ -52,10 +53,13 @@
     upstream_gone,
     upstream_silent,
     bad_flags,
-    overloaded
+    overloaded,
+    asking_zone,  // the SYN is held until the zone has said who has the flow
+    by_report,    // a host of the zone has named the flow's upstream
+    outdated_syn, // the flow is open, or its caller has given up
 };
 inline constexpr std::size_t packet_reason_count =
-    static_cast<std::size_t>(packet_reason::overloaded) + 1;
+    static_cast<std::size_t>(packet_reason::outdated_syn) + 1;
 std::string_view to_string(packet_reason r);
 
 struct packet_decision
@@ -78,6 +82,14 @@
     bool operator==(packet_decision const&) const = default;
 };
 
+// A packet of a caller as read from the socket.
+struct received_packet
+{
+    caller_packet header;
+    std::string_view bytes; // the whole packet; a copy is kept while a SYN is unanswered
+    duration waited{};      // from its arrival at this host until it was read
+};
+
 // A SYN that is sent to another upstream, with the packet as received from the caller.
 struct syn_retry
 {
@@ -96,13 +108,18 @@
     {
     }
 
-    // `raw` is the whole packet; a copy is kept while a SYN is unanswered.
-    packet_decision handle(caller_packet const& p, std::string_view raw, time_point now);
+    packet_decision handle(received_packet const& in, time_point now);
     // Unanswered SYNs to upstreams that also fail connection probes, to be sent to another
-    // upstream.
+    // upstream, and SYNs for which the zone has named no upstream in time.
     std::vector<syn_retry> retries_due(time_point now);
     // When `retries_due` should be called next; zero if no SYN is pending.
     time_point next_retry_at() const;
+    // Processes the upstream that another host has named for a flow. Returns the SYN that was held
+    // for it, unless the flow is open.
+    std::optional<syn_retry> learn(flow_owner const& owner, time_point now);
+    // The answer to another host's inquiry; nullopt if the flow is not known here.
+    std::optional<flow_owner> owner_of(flow_owner const& asked);
+    flow_owners& owners() { return owners_; }
     // Upstreams to which a connection should be attempted as a probe.
     std::vector<flow_token> probes_due(time_point now);
     // Processes a probe result. All flows of an upstream found silent are reset so that callers can
@@ -124,9 +141,13 @@
         time_point check_until; // end of the checks
     };
 
-    packet_decision handle_syn(caller_packet const& p, std::string_view raw, time_point now);
-    packet_decision handle_retransmitted_syn(flow_record& flow, caller_packet const& p,
-                                             std::string_view raw, time_point now);
+    // Opening of flows (edge_opening.cpp).
+    packet_decision handle_syn(received_packet const& in, time_point now);
+    static bool is_copy_of(flow_record const& flow, std::uint32_t sequence);
+    packet_decision handle_retransmitted_syn(flow_record& flow, received_packet const& in,
+                                             time_point now);
+    packet_decision place_contested_flow(caller_packet const& p, std::string_view raw,
+                                         time_point now);
     packet_decision retry_elsewhere(flow_record& flow, flow_endpoints const& key, time_point now);
     packet_decision place_flow(caller_packet const& p, std::string_view raw, time_point now);
     placement_choice choose_upstream(std::string const& service,
@@ -156,6 +177,7 @@
     overload_control& overload_;
     fleet_state const& fleet_;
     service_capacity& capacity_;
+    flow_owners owners_;
     std::multimap<time_point, pending_open> pending_opens_; // by time of the next check
 };
 
--- a/coordination/flow_table.cpp
+++ b/coordination/flow_table.cpp
@@ -91,7 +91,7 @@
     f.upstream = upstream;
     f.first_sequence = sequence;
     f.next_sequence = sequence + 1;
-    f.opened = f.last_seen = now;
+    f.opened = f.offered_at = f.last_seen = now;
     f.open_attempts = 1;
     ++loads_[upstream.value].flows;
     start_request(f, now);
@@ -101,9 +101,9 @@
     return f;
 }
 
-flow_record& flow_table::add_existing(caller_packet const& p, time_point now)
+flow_record& flow_table::add_existing(caller_packet const& p, flow_token upstream, time_point now)
 {
-    flow_record& f = open(p.flow, p.token, p.sequence - 1, now);
+    flow_record& f = open(p.flow, upstream, p.sequence - 1, now);
     finish_request(f, now);
     f.phase = flow_phase::open;
     f.acknowledged = p.acknowledged;
@@ -119,6 +119,7 @@
     time_point const since = flow.request_sent_at;
     detach(flow, now);
     flow.upstream = upstream;
+    flow.offered_at = now;
     ++loads_[upstream.value].flows;
     if (since != time_point{})
         start_request(flow, since);
--- a/coordination/flow_table.hpp
+++ b/coordination/flow_table.hpp
@@ -33,6 +33,7 @@
     std::uint32_t next_sequence{}; // sequence number after the caller's last byte
     std::uint32_t acknowledged{};
     time_point opened;
+    time_point offered_at; // when the SYN was first sent to the present upstream
     time_point last_seen;
     time_point request_sent_at; // of the pending request; zero if there is none
     time_point last_data_at;    // of the caller's latest new bytes
@@ -80,7 +81,7 @@
     flow_record& open(flow_endpoints const& key, flow_token upstream, std::uint32_t sequence,
                       time_point now);
     // Adds a flow that was opened through another host.
-    flow_record& add_existing(caller_packet const& p, time_point now);
+    flow_record& add_existing(caller_packet const& p, flow_token upstream, time_point now);
     // Moves a flow to another upstream.
     void reassign(flow_record& flow, flow_token upstream, time_point now);
     flow_observation observe(flow_record& flow, caller_packet const& p, time_point now);
--- a/edge/edge_host.cpp
+++ b/edge/edge_host.cpp
@@ -81,7 +81,7 @@
         io_, settings_.packets, [this](std::string_view bytes, endpoint) { on_packet(bytes); });
     heartbeat_socket_ = std::make_unique<loop_udp>(io_, endpoint{settings_.ip, settings_.peer_port},
                                                    [this](std::string_view bytes, endpoint from)
-                                                   { on_heartbeat(bytes, from); });
+                                                   { on_peer_message(bytes, from); });
     listeners_.push_back(std::make_unique<http_listener>(io_, settings_.ready, handler));
     listeners_.push_back(
         std::make_unique<http_listener>(io_, endpoint{settings_.ip, settings_.peer_port}, handler));
--- a/edge/edge_host.hpp
+++ b/edge/edge_host.hpp
@@ -57,6 +57,12 @@
     void report_probe(flow_token upstream, endpoint address, connection_outcome outcome,
                       probe_result result, time_point started);
 
+    // Agreement with the zone on the upstreams of flows (edge_flows.cpp).
+    void schedule_flow_report();
+    void send_flow_report();
+    void on_flow_report(std::string_view bytes, endpoint source);
+    void report_flows_to(endpoint newcomer);
+
     // State synchronization with the store (edge_store.cpp) and other hosts (edge_sync.cpp).
     boost::asio::awaitable<void> read_store_loop();
     boost::asio::awaitable<bool> read_store();
@@ -92,7 +98,9 @@
     void report_changes(bool applied, std::vector<view_change> const& changes,
                         std::string const& source, store_position as_of);
     boost::asio::awaitable<bool> fetch_from(endpoint source, store_position as_of);
+    void on_peer_message(std::string_view bytes, endpoint source);
     void on_heartbeat(std::string_view bytes, endpoint source);
+    void refuse_peer_message(endpoint source);
     peer_heartbeat make_heartbeat(time_point now) const;
     // Slow start: begins it for upstreams that have changed, and processes another host's levels.
     bool slow_start_applies(known_upstream const& u) const;
@@ -161,6 +169,7 @@
     time_point retry_armed_for_{};
     bool has_read_{}; // the store has been read, or a read was attempted
     bool fetching_{};
+    bool flow_report_scheduled_{};
     bool draining_{}; // no longer ready, but still forwarding packets
     bool stopping_{}; // announced by the last heartbeat before the exit
     time_point drain_started_{};
--- a/edge/edge_packets.cpp
+++ b/edge/edge_packets.cpp
@@ -70,9 +70,11 @@
                      {{"reason", fault}, {"bytes", std::to_string(bytes.size())}});
         return;
     }
-    packet_decision const d = router_.handle(decoded.packet, bytes, now);
+    duration const waited = decoded.packet.syn ? packet_socket_->waited() : duration{};
+    packet_decision const d = router_.handle({decoded.packet, bytes, waited}, now);
     execute(d, bytes, now);
     log_decision(d, bytes, now);
+    schedule_flow_report();
     arm_retry_timer();
 }
 
--- a/edge/edge_sync.cpp
+++ b/edge/edge_sync.cpp
@@ -115,16 +115,26 @@
     update_readiness(now);
 }
 
+void edge_host::refuse_peer_message(endpoint source)
+{
+    metrics_.count("beats_refused_total", "messages of other hosts that could not be read")++;
+    log::warning("beat.refused", {{"source", to_string(source)}});
+}
+
+void edge_host::on_peer_message(std::string_view bytes, endpoint source)
+{
+    if (is_flow_report(bytes))
+        on_flow_report(bytes, source);
+    else
+        on_heartbeat(bytes, source);
+}
+
 void edge_host::on_heartbeat(std::string_view bytes, endpoint source)
 {
     time_point const now = boot_time_now();
     auto const heartbeat = decode_heartbeat(bytes);
     if (!heartbeat)
-    {
-        metrics_.count("beats_refused_total", "messages of other hosts that could not be read")++;
-        log::warning("beat.refused", {{"source", to_string(source)}});
-        return;
-    }
+        return refuse_peer_message(source);
     auto const outcome = peers_.on_heartbeat(*heartbeat, view_.version(), now);
     if (outcome.new_peer)
         log::info("peer.heard", {{"peer", to_string(endpoint{heartbeat->sender.ip, 0})},
@@ -133,6 +143,9 @@
         health_.record_peer_suspicion(t, now);
     for (observed_answer const& a : heartbeat->observed_answers)
         health_.record_peer_answer(a.upstream, now - std::chrono::milliseconds(a.age_ms));
+    bool const has_started = outcome.new_peer || heartbeat->known_hosts == 0U;
+    if (has_started && heartbeat->sender.zone == settings_.zone)
+        report_flows_to({heartbeat->sender.ip, settings_.peer_port});
     record_recovering(*heartbeat, now);
     answer_peer(*heartbeat, now);
     if (outcome.confirms)
--- a/protocol/edge_codec.cpp
+++ b/protocol/edge_codec.cpp
@@ -18,6 +18,8 @@
 // member names would triple their size. The first element is the layout version.
 constexpr std::int64_t heartbeat_layout_version = 1;
 constexpr std::int64_t view_layout_version = 3;
+// First element of a flow report, which is sent to the same port as heartbeats.
+constexpr std::string_view flow_report_tag = "flows-1";
 constexpr std::uint64_t max_packed_endpoint = 0xFFFF'FFFF'FFFF; // 32 bits of address, 16 of port
 constexpr double max_requests_per_s = 1e6;
 // Leaves room for the time on the way, which the receiver adds.
@@ -197,6 +199,29 @@
     return r;
 }
 
+json::array encode_flow_owners(std::vector<flow_owner> const& owners)
+{
+    json::array rows;
+    for (flow_owner const& o : owners)
+        rows.push_back(json::array{o.flow.caller.packed(), o.flow.destination.packed(),
+                                   o.first_sequence, o.upstream.value, o.open});
+    return rows;
+}
+
+std::vector<flow_owner> decode_flow_owners(json::value const& v)
+{
+    std::vector<flow_owner> out;
+    for (json::value const& item : v.as_array())
+    {
+        auto const& row = item.as_array();
+        out.push_back({{decode_endpoint(row.at(0)), decode_endpoint(row.at(1))},
+                       number<std::uint32_t>(row.at(2)),
+                       {number<std::uint32_t>(row.at(3))},
+                       row.at(4).as_bool()});
+    }
+    return out;
+}
+
 json::value parse(std::string_view text)
 {
     return json::parse(json::string_view(text.data(), text.size()));
@@ -301,6 +326,30 @@
         });
 }
 
+bool is_flow_report(std::string_view bytes)
+{
+    constexpr std::string_view opening = "[\"";
+    return bytes.starts_with(opening) && bytes.substr(opening.size()).starts_with(flow_report_tag);
+}
+
+std::string encode_flow_report(flow_report const& r)
+{
+    return json::serialize(
+        json::array{json::string_view(flow_report_tag.data(), flow_report_tag.size()),
+                    encode_flow_owners(r.asked), encode_flow_owners(r.known)});
+}
+
+std::optional<flow_report> decode_flow_report(std::string_view bytes)
+{
+    return decode_or_nullopt(
+        [&]
+        {
+            json::value const v = parse(bytes);
+            auto const& row = v.as_array();
+            return flow_report{decode_flow_owners(row.at(1)), decode_flow_owners(row.at(2))};
+        });
+}
+
 std::string encode_view_query(view_base const& b)
 {
     return "as_of=" + std::to_string(b.as_of.revision) +
--- a/protocol/edge_codec.hpp
+++ b/protocol/edge_codec.hpp
@@ -16,6 +16,11 @@
 std::string encode_heartbeat(peer_heartbeat const& b);
 std::optional<peer_heartbeat> decode_heartbeat(std::string_view bytes);
 
+// Flow reports are sent to the same port as heartbeats.
+bool is_flow_report(std::string_view bytes);
+std::string encode_flow_report(flow_report const& r);
+std::optional<flow_report> decode_flow_report(std::string_view bytes);
+
 // The view that a requesting host already has; 0 means none.
 struct view_base
 {
--- a/state/peer_messages.hpp
+++ b/state/peer_messages.hpp
@@ -2,6 +2,7 @@
 #ifndef CHIVELEVER_STATE_PEER_MESSAGES_HPP
 #define CHIVELEVER_STATE_PEER_MESSAGES_HPP
 
+#include "state/caller_packet.hpp"
 #include "state/edge_types.hpp"
 
 #include <cstddef>
@@ -120,6 +121,25 @@
     bool operator==(peer_heartbeat const&) const = default;
 };
 
+// The upstream of one flow. The sequence number of the SYN distinguishes the flow from an earlier
+// one with the same addresses and ports.
+struct flow_owner
+{
+    flow_endpoints flow;
+    std::uint32_t first_sequence{};
+    flow_token upstream; // 0 in an inquiry
+    bool open{};         // the caller has accepted this upstream's answer
+    auto operator<=>(flow_owner const&) const = default;
+};
+
+// Sent to the hosts of a zone when copies of a SYN may have reached several hosts or upstreams.
+struct flow_report
+{
+    std::vector<flow_owner> asked; // flows whose upstream the sender wants to know
+    std::vector<flow_owner> known;
+    bool operator==(flow_report const&) const = default;
+};
+
 // View sent to a host that has an older one: either complete, or only the changes since the
 // receiver's revision.
 struct peer_view
--- a/tests/edge_fixture.hpp
+++ b/tests/edge_fixture.hpp
@@ -92,7 +92,10 @@
     void advance(duration d) { now += d; }
     // Records a store read with unchanged contents.
     void confirm() { view.confirm(view.version().as_of, now, now); }
-    packet_decision handle(caller_packet const& p) { return router.handle(p, "packet", now); }
+    packet_decision handle(caller_packet const& p, duration waited = {})
+    {
+        return router.handle({p, "packet", waited}, now);
+    }
 };
 
 } // namespace chivelever
--- a/tests/edge_router_test.cpp
+++ b/tests/edge_router_test.cpp
@@ -385,7 +385,7 @@
     deployment_view empty;
     edge_router fresh(empty, host.flows, host.health, host.place, host.overload, host.fleet,
                       host.capacity);
-    CHECK(fresh.handle(make_syn(2), "packet", host.now).reason == packet_reason::not_loaded);
+    CHECK(fresh.handle({make_syn(2), "packet"}, host.now).reason == packet_reason::not_loaded);
 }
 
 // Guards against a slow host, such as one with 0.12 CPU cores, that mistakes its own delay for a
--- a/tests/stale_view_test.cpp
+++ b/tests/stale_view_test.cpp
@@ -101,7 +101,7 @@
               {
                   caller_packet p = make_data(0, d.token, 1001, 5000, 0);
                   p.flow = d.flow;
-                  host.router.handle(p, "", now_);
+                  host.router.handle({p, ""}, now_);
                   host.flows.erase(d.flow, now_);
               });
     }
--- a/transport/event_loop.cpp
+++ b/transport/event_loop.cpp
@@ -2,6 +2,7 @@
 
 #include "transport/log.hpp"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -9,7 +10,9 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/scope_exit.hpp>
 #include <cerrno>
+#include <cstring>
 #include <ctime>
+#include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
 
@@ -28,13 +31,18 @@
 // Upper bound on the batches that one drain() reads, so that a long burst cannot block the loop.
 constexpr int max_drain_batches = 16;
 
+duration to_duration(timespec const& t)
+{
+    return std::chrono::seconds(t.tv_sec) + duration(t.tv_nsec / 1000);
+}
+
 } // namespace
 
 time_point boot_time_now()
 {
     timespec t{};
     ::clock_gettime(CLOCK_BOOTTIME, &t);
-    return time_point{std::chrono::seconds(t.tv_sec) + duration(t.tv_nsec / 1000)};
+    return time_point{to_duration(t)};
 }
 
 void run_event_loop(asio::io_context& io,
@@ -150,9 +158,12 @@
 
 loop_udp::loop_udp(asio::io_context& io, endpoint local, handler h)
     : socket_(io, asio::ip::udp::endpoint(asio::ip::address_v4(local.address), local.port)),
-      handler_(std::move(h))
+      handler_(std::move(h)), last_empty_(boot_time_now())
 {
     socket_.non_blocking(true);
+    // Without time stamps, waited() has the upper bound only.
+    int const enabled = 1;
+    ::setsockopt(socket_.native_handle(), SOL_SOCKET, SO_TIMESTAMPNS, &enabled, sizeof enabled);
     wait();
 }
 
@@ -180,21 +191,58 @@
     }
 }
 
+std::ptrdiff_t loop_udp::receive(asio::mutable_buffer buffer, endpoint& source)
+{
+    sockaddr_in from{};
+    iovec part{buffer.data(), buffer.size()};
+    alignas(cmsghdr) std::array<char, CMSG_SPACE(sizeof(timespec))> control;
+    msghdr message{};
+    message.msg_name = &from;
+    message.msg_namelen = sizeof from;
+    message.msg_iov = &part;
+    message.msg_iovlen = 1;
+    message.msg_control = control.data();
+    message.msg_controllen = control.size();
+    std::ptrdiff_t const n = ::recvmsg(socket_.native_handle(), &message, 0);
+    received_.reset();
+    if (n < 0)
+        return n;
+    source = {ntohl(from.sin_addr.s_addr), ntohs(from.sin_port)};
+    for (cmsghdr* c = CMSG_FIRSTHDR(&message); c != nullptr; c = CMSG_NXTHDR(&message, c))
+        if (c->cmsg_level == SOL_SOCKET && c->cmsg_type == SCM_TIMESTAMPNS)
+            std::memcpy(&received_.emplace(), CMSG_DATA(c), sizeof(timespec));
+    return n;
+}
+
+duration loop_udp::waited() const
+{
+    duration const bound = boot_time_now() - last_empty_;
+    if (!received_)
+        return bound;
+    timespec now{};
+    ::clock_gettime(CLOCK_REALTIME, &now);
+    // The time of day may have been set in the meantime.
+    duration const age = to_duration(now) - to_duration(*received_);
+    return std::clamp(age, duration{}, bound);
+}
+
 // Returns true if more datagrams may be queued.
 bool loop_udp::read_batch()
 {
     static std::array<char, max_datagram_bytes> buffer;
     for (int i = 0; i < max_batch_datagrams; ++i)
     {
-        asio::ip::udp::endpoint from;
-        boost::system::error_code e;
-        std::size_t const n = socket_.receive_from(asio::buffer(buffer), from, 0, e);
+        endpoint source;
+        std::ptrdiff_t const n = receive(asio::buffer(buffer), source);
         // An ICMP "port unreachable" for an earlier datagram is reported here; keep reading.
-        if (e == asio::error::connection_refused)
+        if (n < 0 && errno == ECONNREFUSED)
             continue;
-        if (e)
+        if (n < 0)
+        {
+            last_empty_ = boot_time_now();
             return false;
-        handler_({buffer.data(), n}, {from.address().to_v4().to_uint(), from.port()});
+        }
+        handler_({buffer.data(), static_cast<std::size_t>(n)}, source);
     }
     return true;
 }
--- a/transport/event_loop.hpp
+++ b/transport/event_loop.hpp
@@ -8,10 +8,13 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <cstddef>
 #include <cstdint>
+#include <ctime>
 #include <exception>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -71,6 +74,10 @@
 public:
     using handler = std::function<void(std::string_view bytes, endpoint source)>;
 
+    // Upper bound on the time that the datagram being handled has waited to be read, as while this
+    // process was stopped.
+    duration waited() const;
+
     // Throws boost::system::system_error if the address cannot be bound.
     loop_udp(boost::asio::io_context& io, endpoint local, handler h);
     // Handles the datagrams that are already queued. Call it before a decision that depends on the
@@ -83,9 +90,13 @@
 private:
     void wait();
     bool read_batch();
+    // Reads one datagram; returns its size, or -1 with errno set.
+    std::ptrdiff_t receive(boost::asio::mutable_buffer buffer, endpoint& source);
 
     boost::asio::ip::udp::socket socket_;
     handler handler_;
+    time_point last_empty_;            // when all datagrams had been read
+    std::optional<timespec> received_; // by the kernel, in the time of day
     std::uint64_t send_failures_{};
 };
 
