Move a SYN only if a probe shows that its upstream is down or full

Cause: a copy of a SYN moved if another flow of the same upstream had failed within the last second and nobody had got an answer from it since. When the answers of all upstreams are late, as while processes wait for the processor, the flows of an upstream are signs against it for each other. Evidence: the five flows traced were placed and, 200 to 226 ms later, moved by the same host (offered_again); both upstreams answered, and the flow broke when it reached a host without memory of it. Ruled out: moves after a failed probe (none of the five), and a lost answer alone.

Change: only a probe that failed beside one that succeeded, or one that was closed, moves a SYN. Missing answers and reports of other hosts still make an upstream suspected and start a probe.

--- a/coordination/edge_opening.cpp
+++ b/coordination/edge_opening.cpp
@@ -67,9 +67,9 @@
 }
 
 // A retransmitted SYN means that the caller has no answer. If the flow has opened in the meantime,
-// the retransmission is outdated. Otherwise it moves only if there is another sign that the
-// upstream is down or full: if only the SYN+ACK was lost, a second upstream would answer as well,
-// and the caller would go on to echo the token of the one at which the flow is not open.
+// the retransmission is outdated. Otherwise it moves only if a probe shows that the upstream is
+// down or full: if only the SYN+ACK was lost or late, a second upstream would answer as well, and
+// the caller would go on to echo the token of the one at which the flow is not open.
 packet_decision edge_router::handle_retransmitted_syn(flow_record& flow, received_packet const& in,
                                                       time_point now)
 {
@@ -82,16 +82,15 @@
     if (flow.phase != flow_phase::opening || p.acknowledged == 0 ||
         !view_.route(p.flow.destination))
         return forward_to(d, flow.upstream);
-    std::uint64_t const id = hash_value(p.flow);
     flow_token const first = flow.upstream;
     // A copy that was sent before the upstream could answer says nothing about it: this host may
     // have read the SYN and the copy together.
     bool const unanswered = now - in.waited - flow.offered_at >= min_answer_time;
-    if (health_.has_other_failure(first, id, flow.opened, now))
+    if (health_.shows_failure(first, now))
         d = retry_elsewhere(flow, p.flow, now);
     else if (unanswered)
     {
-        d.newly_suspected = record_failure(first, id, now);
+        d.newly_suspected = record_failure(first, now);
         d.suspect = first;
     }
     time_point const next =
@@ -109,7 +108,7 @@
     packet_decision d;
     d.flow = key;
     d.is_syn = true;
-    d.newly_suspected = record_failure(flow.upstream, hash_value(key), now);
+    d.newly_suspected = record_failure(flow.upstream, now);
     d.suspect = flow.upstream;
     route_entry const* const route = view_.route(key.destination);
     if (flow.open_attempts < max_open_attempts && route != nullptr)
@@ -213,7 +212,7 @@
             flow->first_sequence != pending.sequence)
             continue;
         if (pending.failure_reported_for != flow->upstream)
-            record_failure(flow->upstream, hash_value(pending.flow), now);
+            record_failure(flow->upstream, now);
         pending.failure_reported_for = flow->upstream;
         time_point next = now + pending_open_recheck;
         if (health_.fails_probes(flow->upstream))
--- a/coordination/edge_router.cpp
+++ b/coordination/edge_router.cpp
@@ -47,11 +47,11 @@
     health_.set_stale_since(view_.loaded() && now > since ? since : time_point{});
 }
 
-bool edge_router::record_failure(flow_token upstream, std::uint64_t flow, time_point now)
+bool edge_router::record_failure(flow_token upstream, time_point now)
 {
     if (fleet_.recoveries != nullptr)
         fleet_.recoveries->record_failure(upstream, now);
-    return health_.record_failure(upstream, now, flow);
+    return health_.record_failure(upstream, now);
 }
 
 void edge_router::record_response(known_upstream const& u, duration response_time,
@@ -177,7 +177,7 @@
         health_.record_answer(flow.upstream, now, flow.opened);
     else if (d.seen.retransmitted)
     {
-        d.newly_suspected = record_failure(flow.upstream, hash_value(p.flow), now);
+        d.newly_suspected = record_failure(flow.upstream, now);
         d.suspect = flow.upstream;
     }
 }
--- a/coordination/edge_router.hpp
+++ b/coordination/edge_router.hpp
@@ -165,8 +165,7 @@
     bool config_is_recent(time_point now) const;
     void update_staleness(time_point now);
     // Both record a failure or an answer of the upstream with its health and its slow start.
-    // `flow` is a hash of the flow's endpoints.
-    bool record_failure(flow_token upstream, std::uint64_t flow, time_point now);
+    bool record_failure(flow_token upstream, time_point now);
     void record_response(known_upstream const& u, duration response_time, duration objective,
                          time_point now);
 
--- a/coordination/upstream_health.cpp
+++ b/coordination/upstream_health.cpp
@@ -25,9 +25,6 @@
 constexpr std::uint32_t silent_after_probes = 3;
 // Other upstreams must have answered this recently; otherwise the fault may be on this host's side.
 constexpr duration others_answer_window = 300ms;
-// A failure of another flow counts as a reason to move a SYN for this long. Independent losses on
-// two flows of one upstream within it are rare.
-constexpr duration other_failure_lifetime = 1s;
 // Callers give up a SYN after this time, so that a closed probe counts for all of its copies.
 constexpr duration closed_probe_lifetime = 1400ms;
 // Time from the end of a probe to the next one: short after the first failures to detect a silent
@@ -101,13 +98,10 @@
     failed_upstreams_ = 0;
 }
 
-bool upstream_health::record_failure(flow_token upstream, time_point now, std::uint64_t flow)
+bool upstream_health::record_failure(flow_token upstream, time_point now)
 {
     bool const was_suspected = status(upstream, now) != health_status::healthy;
     record& r = records_[upstream.value];
-    if (r.failed_flows[0].flow != flow)
-        r.failed_flows[1] = r.failed_flows[0];
-    r.failed_flows[0] = {flow, now};
     ++r.failures;
     r.last_failure = now;
     r.probe_requested_at = now;
@@ -269,28 +263,15 @@
            !answered_since(it->second, it->second.failing_since);
 }
 
-// An answer since the SYN shows that the upstream works and that the answer to the SYN was lost.
-// Only a failed probe begun after that answer, or a closed one, then tells otherwise.
-bool upstream_health::has_other_failure(flow_token upstream, std::uint64_t flow, time_point opened,
-                                        time_point now) const
+// Missing answers alone show nothing: all of them may be late, or have taken another way.
+bool upstream_health::shows_failure(flow_token upstream, time_point now) const
 {
     auto const it = records_.find(upstream.value);
     if (it == records_.end())
         return false;
     record const& r = it->second;
     bool const closed = r.closed_at != time_point{} && now - r.closed_at < closed_probe_lifetime;
-    if (closed || fails_probes(upstream))
-        return true;
-    if (answered_since(r, opened))
-        return false;
-    return is_reported(r, now) ||
-           std::ranges::any_of(r.failed_flows,
-                               [&](failed_flow const& f)
-                               {
-                                   return f.at != time_point{} && f.flow != flow &&
-                                          now - f.at < other_failure_lifetime &&
-                                          !answered_since(r, f.at);
-                               });
+    return closed || fails_probes(upstream);
 }
 
 // The answer may be old: the reference is probed as well, and the result counts only if it answers.
--- a/coordination/upstream_health.hpp
+++ b/coordination/upstream_health.hpp
@@ -7,7 +7,6 @@
 
 #include "state/state.hpp"
 
-#include <array>
 #include <cstdint>
 #include <span>
 #include <unordered_map>
@@ -39,9 +38,9 @@
     // The upstream answered, as shown by a caller's packet. An answer on a flow that was opened
     // before the upstream failed its probes shows that it was not restarted.
     void record_answer(flow_token upstream, time_point now, time_point flow_opened);
-    // A SYN was not answered, or a request was retransmitted. `flow` is a hash of the flow's
-    // endpoints. Returns true if this makes the upstream suspected.
-    bool record_failure(flow_token upstream, time_point now, std::uint64_t flow = 0);
+    // A SYN was not answered, or a request was retransmitted. Returns true if this makes the
+    // upstream suspected.
+    bool record_failure(flow_token upstream, time_point now);
     // A request has been pending for unusually long and no other was answered. Requests a probe
     // only.
     void record_stall(flow_token upstream, time_point now);
@@ -78,10 +77,8 @@
 
     // Whether the last probe failed and no caller has been answered since.
     bool fails_probes(flow_token upstream) const;
-    // Whether anything but the missing answer to `flow`, whose SYN was first sent at `opened`,
-    // shows that the upstream is down or full.
-    bool has_other_failure(flow_token upstream, std::uint64_t flow, time_point opened,
-                           time_point now) const;
+    // Whether a probe shows that the upstream is down or full.
+    bool shows_failure(flow_token upstream, time_point now) const;
     // The upstream that answered most recently and is not in `probed`, as a control for its probes.
     flow_token reference_upstream(std::span<flow_token const> probed) const;
     health_status status(flow_token upstream, time_point now) const;
@@ -94,11 +91,6 @@
     void expire(time_point now);
 
 private:
-    struct failed_flow
-    {
-        std::uint64_t flow{};
-        time_point at; // zero if none
-    };
     struct record
     {
         time_point last_answer;
@@ -108,9 +100,7 @@
         time_point probe_requested_at; // time of the latest probe request; zero if none
         time_point probed_at;
         time_point probe_answered_at;
-        time_point closed_at; // of the latest probe, if it was accepted and closed
-        // Latest failures of two different flows; one of them is not the flow in question.
-        std::array<failed_flow, 2> failed_flows{};
+        time_point closed_at;          // of the latest probe, if it was accepted and closed
         std::uint32_t failures{};      // since the last answer
         std::uint32_t failed_probes{}; // consecutive
         time_point failing_since{};    // start of the first of them
--- a/tests/opening_replay_test.cpp
+++ b/tests/opening_replay_test.cpp
@@ -456,6 +456,13 @@
     CHECK(r.second_openings == 0);
 }
 
+TEST_CASE("answers that are late from all upstreams move no SYN", "[edge][owners][replay]")
+{
+    auto const r = replay({.restarts = true, .late_answers = true, .lost_answers = 0.02}, 8);
+    CHECK(r.opened > 8000);
+    CHECK(r.second_openings == 0);
+}
+
 TEST_CASE("late answers beside hosts that stand still and restarts break no open flows",
           "[edge][owners][replay]")
 {
