Count the rest of a cold start from the end of a reading

Cause: what an entry says is left of the cold start was added to the time before the first call of the reading, although the entry may have been written until the listing was received. In a view from another host it was added to the time of the request, less the age that the sender had determined after it. Evidence: the upstream traced wrote its entry at 50.067 s with 2,000 ms left; the hosts listed it with age_ms of 565 to 570 and sent it flows from 51.631 s. Ruled out: the shares of a cold upstream (no opening reached it before the hosts took it for warm), and relaying alone (the reader was as wrong as the rest).

Change: a reading has an earliest and a latest time. A view is confirmed as of the earliest; the end of a cold start is counted from the latest. What is passed on is rounded up. Errors of either kind make an upstream cold for longer.

--- a/coordination/deployment_view.cpp
+++ b/coordination/deployment_view.cpp
@@ -49,14 +49,14 @@
 {
     if (!may_apply(operators))
         return false;
-    apply_listing(operators, upstreams, read_at, now, changes);
+    apply_listing(operators, upstreams, {read_at, now}, now, changes);
     if (operators.config && operators.config->version == config_->version)
         config_era_ = operators.as_of.era;
     return true;
 }
 
 void deployment_view::apply_listing(operator_listing const& operators,
-                                    upstream_listing const& upstreams, time_point read_at,
+                                    upstream_listing const& upstreams, reading_time read,
                                     time_point now, std::vector<view_change>& changes)
 {
     detect_era_change(operators.as_of, now, changes);
@@ -64,19 +64,21 @@
     if (operators.config && (!config_ || operators.config->version > config_->version))
         apply_config(*operators.config, changes);
     apply_zones(operators.evacuated_zones, changes);
-    apply_upstreams(upstreams, read_at, now, changes);
-    complete_update(operators.as_of, read_at, now, changes);
+    apply_upstreams(upstreams, read.latest, now, changes);
+    complete_update(operators.as_of, read.earliest, now, changes);
 }
 
 bool deployment_view::apply(peer_view const& view, time_point now,
-                            std::vector<view_change>& changes)
+                            std::vector<view_change>& changes, duration fetch_time)
 {
-    time_point const read_at = now - std::chrono::milliseconds(view.view_age_ms);
+    // The sender determined the age at some time between the request and the response.
+    time_point const latest = now - std::chrono::milliseconds(view.view_age_ms);
+    reading_time const read{latest - fetch_time, latest};
     if (!may_apply(view.operators))
         return false;
     if (view.complete)
     {
-        apply_listing(view.operators, view.upstreams, read_at, now, changes);
+        apply_listing(view.operators, view.upstreams, read, now, changes);
         return true;
     }
     // Positions of different eras do not show which entries have changed between them.
@@ -92,14 +94,14 @@
     detect_outage(now, changes);
     apply_zones(view.operators.evacuated_zones, changes);
     for (upstream_entry const& e : view.upstreams.entries)
-        update_upstream(by_name_[e.name], e, read_at, now, changes);
+        update_upstream(by_name_[e.name], e, read.latest, now, changes);
     for (std::string const& name : view.removed)
     {
         auto const it = by_name_.find(name);
         if (it != by_name_.end() && it->second.entry.revision <= view.operators.as_of)
             mark_missing(it->second, view.operators.as_of, now, changes);
     }
-    complete_update(view.operators.as_of, read_at, now, changes);
+    complete_update(view.operators.as_of, read.earliest, now, changes);
     return true;
 }
 
@@ -219,7 +221,7 @@
 }
 
 void deployment_view::update_upstream(known_upstream& known, upstream_entry const& entry,
-                                      time_point read_at, time_point now,
+                                      time_point latest_read, time_point now,
                                       std::vector<view_change>& changes)
 {
     bool const is_new = known.entry.name.empty();
@@ -240,12 +242,7 @@
         changes.push_back({"upstream.back", entry.name, ""});
     if (entry.draining && (is_new || !known.entry.draining))
         changes.push_back({"upstream.draining", entry.name, ""});
-    // An entry of the backup may be older than the known one and show more time than is left.
-    bool const same_era = entry.revision.era == known.entry.revision.era;
-    if (is_new || restarted || (same_era && entry.revision > known.entry.revision))
-        known.cold_until = entry.cold_left_ms == 0
-                               ? time_point{}
-                               : read_at + std::chrono::milliseconds(entry.cold_left_ms);
+    update_cold_start(known, entry, latest_read, is_new || restarted);
     if (!is_new)
         keep_draining(known, entry, now);
     known.entry = entry;
@@ -253,14 +250,28 @@
     known.listed = true;
 }
 
-void deployment_view::apply_upstreams(upstream_listing const& listing, time_point read_at,
+// The entry says how much of the cold start was left when it was written, which may have been at
+// any time until it was received.
+void deployment_view::update_cold_start(known_upstream& known, upstream_entry const& entry,
+                                        time_point latest_read, bool restarted)
+{
+    time_point const cold_until = entry.cold_left_ms == 0
+                                      ? time_point{}
+                                      : latest_read + std::chrono::milliseconds(entry.cold_left_ms);
+    // An entry of the backup may be older than the known one and show more time than is left.
+    bool const same_era = entry.revision.era == known.entry.revision.era;
+    if (restarted || (same_era && entry.revision > known.entry.revision))
+        known.cold_until = cold_until;
+}
+
+void deployment_view::apply_upstreams(upstream_listing const& listing, time_point latest_read,
                                       time_point now, std::vector<view_change>& changes)
 {
     std::set<std::string_view> listed_names;
     for (upstream_entry const& e : listing.entries)
     {
         listed_names.insert(e.name);
-        update_upstream(by_name_[e.name], e, read_at, now, changes);
+        update_upstream(by_name_[e.name], e, latest_read, now, changes);
     }
     for (auto& [name, known] : by_name_)
     {
@@ -402,7 +413,7 @@
         // least 1 ms: an entry that announced a cold start stays marked after it, so that the
         // digests of sender and receiver are equal.
         std::int64_t const left_ms =
-            (known.cold_until - confirmed_at_) / std::chrono::milliseconds(1);
+            std::chrono::ceil<std::chrono::milliseconds>(known.cold_until - confirmed_at_).count();
         if (known.entry.cold_left_ms > 0)
             out.upstreams.entries.back().cold_left_ms =
                 static_cast<std::uint32_t>(std::max<std::int64_t>(1, left_ms));
--- a/coordination/deployment_view.hpp
+++ b/coordination/deployment_view.hpp
@@ -61,12 +61,13 @@
 class deployment_view
 {
 public:
-    // Merges listings that were read at `read_at`. Returns false if they are older than the current
-    // view or have an older configuration.
+    // Merges listings of a reading that began at `read_at`; all of it had been received by `now`.
+    // Returns false if they are older than the current view or have an older configuration.
     bool apply(operator_listing const& operators, upstream_listing const& upstreams,
                time_point read_at, time_point now, std::vector<view_change>& changes);
-    // Merges the view of another host.
-    bool apply(peer_view const& view, time_point now, std::vector<view_change>& changes);
+    // Merges the view of another host, received at `now` and requested `fetch_time` before.
+    bool apply(peer_view const& view, time_point now, std::vector<view_change>& changes,
+               duration fetch_time = {});
     // The difference to a host whose view has this position and configuration version; a position
     // of 0 selects the complete view.
     peer_view changes_since(store_position as_of, std::uint64_t config_version,
@@ -114,8 +115,16 @@
     void apply_config(edge_config const& config, std::vector<view_change>& changes);
     void apply_zones(std::set<std::string> const& zones, std::vector<view_change>& changes);
     bool may_apply(operator_listing const& operators) const;
+    // When a listing was read, to the extent that is known. The view counts as confirmed from
+    // `earliest`; what is left of a cold start is counted from `latest`, so that no error of this
+    // host makes an upstream warm too early.
+    struct reading_time
+    {
+        time_point earliest;
+        time_point latest;
+    };
     void apply_listing(operator_listing const& operators, upstream_listing const& upstreams,
-                       time_point read_at, time_point now, std::vector<view_change>& changes);
+                       reading_time read, time_point now, std::vector<view_change>& changes);
     void record_config_step(edge_config const& next);
     // Expresses the current configuration as a difference from version `base`, if the steps since
     // then are still stored.
@@ -123,14 +132,16 @@
     // Reconstructs a complete configuration from a difference; nullopt if the difference is based
     // on another version.
     std::optional<edge_config> merge_config(peer_view const& view) const;
-    void apply_upstreams(upstream_listing const& listing, time_point read_at, time_point now,
+    void apply_upstreams(upstream_listing const& listing, time_point latest_read, time_point now,
                          std::vector<view_change>& changes);
     void mark_missing(known_upstream& known, store_position as_of, time_point now,
                       std::vector<view_change>& changes);
     void complete_update(store_position as_of, time_point read_at, time_point now,
                          std::vector<view_change>& changes);
-    void update_upstream(known_upstream& known, upstream_entry const& entry, time_point read_at,
+    void update_upstream(known_upstream& known, upstream_entry const& entry, time_point latest_read,
                          time_point now, std::vector<view_change>& changes);
+    static void update_cold_start(known_upstream& known, upstream_entry const& entry,
+                                  time_point latest_read, bool restarted);
     void index_upstreams();
     void detect_outage(time_point now, std::vector<view_change>& changes);
     // Starts the recovery time if the position is of a later era than the view.
--- a/edge/edge_sync.cpp
+++ b/edge/edge_sync.cpp
@@ -82,10 +82,9 @@
         co_return true;
     }
     time_point const now = boot_time_now();
-    v->view_age_ms += ms_since(requested_at, now);
     std::vector<view_change> changes;
     bool const first = !view_.loaded();
-    bool const applied = view_.apply(*v, now, changes);
+    bool const applied = view_.apply(*v, now, changes, now - requested_at);
     report_changes(applied, changes, to_string(source), v->operators.as_of);
     if (!first)
         start_recoveries(changes, now);
