Wait in the test of datagram ages until the kernel records them

The kernel switches time stamps on in the background after the first socket has asked for them; a datagram that arrives before gets the time at which it is read.

--- a/tests/datagram_age_test.cpp
+++ b/tests/datagram_age_test.cpp
@@ -36,6 +36,15 @@
                       [&](std::string_view, endpoint) { ages.push_back(receiving->waited()); });
     receiving = &receiver;
     loop_udp sender(io, {0x7F000001, 0}, [](std::string_view, endpoint) {});
+    // The kernel begins to record times of arrival shortly after they have been requested; until
+    // then a datagram has the time at which it is read.
+    for (int i = 0; i < 100 && (ages.empty() || ages.back() < 20ms); ++i)
+    {
+        sender.send(local, "before");
+        std::this_thread::sleep_for(20ms);
+        receiver.drain();
+    }
+    ages.clear();
     time_point const first_sent = boot_time_now();
     sender.send(local, "first");
     std::this_thread::sleep_for(60ms);
