Keep cold starts across a restore of the store

Cause: the end of a cold start was taken over only from an entry of the same era as the known one, so that the backup could not prolong it. The first entry of the new era may be the upstream's present one. And a zone that returned within the recovery time got its load by entries of the backup, older than the cold starts before its return. Evidence: the traced upstream wrote its entry at 49.56 s, openings reached it from 49.59 s, after the hosts had read the return of its zone.

Change: entries carry the number that the upstream gives them (`sequence`), also between hosts; after a restore the entry with the higher number counts. The upstreams of a zone that returns during the recovery time count as cold until a newer entry or the end of that time.

--- a/coordination/deployment_view.cpp
+++ b/coordination/deployment_view.cpp
@@ -63,7 +63,7 @@
     detect_outage(now, changes);
     if (operators.config && (!config_ || operators.config->version > config_->version))
         apply_config(*operators.config, changes);
-    apply_zones(operators.evacuated_zones, changes);
+    apply_zones(operators.evacuated_zones, now, changes);
     apply_upstreams(upstreams, read.latest, now, changes);
     complete_update(operators.as_of, read.earliest, now, changes);
 }
@@ -92,7 +92,7 @@
         apply_config(*config, changes);
     }
     detect_outage(now, changes);
-    apply_zones(view.operators.evacuated_zones, changes);
+    apply_zones(view.operators.evacuated_zones, now, changes);
     for (upstream_entry const& e : view.upstreams.entries)
         update_upstream(by_name_[e.name], e, read.latest, now, changes);
     for (std::string const& name : view.removed)
@@ -206,7 +206,7 @@
     return merged;
 }
 
-void deployment_view::apply_zones(std::set<std::string> const& zones,
+void deployment_view::apply_zones(std::set<std::string> const& zones, time_point now,
                                   std::vector<view_change>& changes)
 {
     for (std::string const& z : zones)
@@ -216,7 +216,10 @@
         kept_zones_.erase(z);
     for (std::string const& z : evacuated_)
         if (!zones.contains(z) && !kept_zones_.contains(z))
+        {
             changes.push_back({"zone.returned", z, ""});
+            expect_cold_starts(z, now);
+        }
     evacuated_ = zones;
 }
 
@@ -260,7 +263,9 @@
                                       : latest_read + std::chrono::milliseconds(entry.cold_left_ms);
     // An entry of the backup may be older than the known one and show more time than is left.
     bool const same_era = entry.revision.era == known.entry.revision.era;
-    if (restarted || (same_era && entry.revision > known.entry.revision))
+    bool const is_newer = same_era ? entry.revision > known.entry.revision
+                                   : entry.write_number > known.entry.write_number;
+    if (restarted || is_newer)
         known.cold_until = cold_until;
 }
 
--- a/coordination/deployment_view.hpp
+++ b/coordination/deployment_view.hpp
@@ -113,7 +113,11 @@
 
 private:
     void apply_config(edge_config const& config, std::vector<view_change>& changes);
-    void apply_zones(std::set<std::string> const& zones, std::vector<view_change>& changes);
+    void apply_zones(std::set<std::string> const& zones, time_point now,
+                     std::vector<view_change>& changes);
+    // The upstreams of a zone may turn cold before it returns. If the store was restored in the
+    // meantime, their entries may be older than that until they have written them again.
+    void expect_cold_starts(std::string const& zone, time_point now);
     bool may_apply(operator_listing const& operators) const;
     // When a listing was read, to the extent that is known. The view counts as confirmed from
     // `earliest`; what is left of a cold start is counted from `latest`, so that no error of this
--- a/coordination/view_recovery.cpp
+++ b/coordination/view_recovery.cpp
@@ -2,6 +2,8 @@
 // from an older backup.
 #include "coordination/deployment_view.hpp"
 
+#include <algorithm>
+
 namespace chivelever
 {
 
@@ -72,6 +74,15 @@
     kept_zones_.clear();
 }
 
+void deployment_view::expect_cold_starts(std::string const& zone, time_point now)
+{
+    if (now >= era_recovery_until_)
+        return;
+    for (auto& [name, known] : by_name_)
+        if (known.entry.zone == zone)
+            known.cold_until = std::max(known.cold_until, era_recovery_until_);
+}
+
 bool deployment_view::evacuated(std::string const& zone) const
 {
     return evacuated_.contains(zone) || kept_zones_.contains(zone);
--- a/protocol/edge_codec.cpp
+++ b/protocol/edge_codec.cpp
@@ -61,8 +61,17 @@
 
 json::array encode_upstream(upstream_entry const& e)
 {
-    return {e.name,     e.datagram_address, e.address.packed(), e.service,          e.zone, e.slots,
-            e.draining, e.cold_left_ms,     e.started_unix_ms,  e.revision.revision};
+    return {e.name,
+            e.datagram_address,
+            e.address.packed(),
+            e.service,
+            e.zone,
+            e.slots,
+            e.draining,
+            e.cold_left_ms,
+            e.started_unix_ms,
+            e.revision.revision,
+            e.write_number};
 }
 
 upstream_entry decode_upstream(json::value const& v, std::uint64_t era)
@@ -79,6 +88,9 @@
     e.cold_left_ms = number<std::uint32_t>(row.at(7));
     e.started_unix_ms = number<std::int64_t>(row.at(8));
     e.revision = {era, number<std::uint64_t>(row.at(9))};
+    // Hosts of earlier versions send no further elements.
+    if (row.size() > 10)
+        e.write_number = number<std::uint64_t>(row.at(10));
     return e;
 }
 
--- a/state/edge_types.hpp
+++ b/state/edge_types.hpp
@@ -39,6 +39,9 @@
     std::uint32_t cold_left_ms{}; // remaining cold-start time when the entry was written
     std::int64_t started_unix_ms{};
     store_position revision; // at which the entry was written
+    // Increases with each entry that the upstream writes after one start; 0 if unknown. Unlike the
+    // revision, it still tells which of two entries is older after a restore of the store.
+    std::uint64_t write_number{};
     bool operator==(upstream_entry const&) const = default;
 };
 
--- a/tests/cold_start_bound_test.cpp
+++ b/tests/cold_start_bound_test.cpp
@@ -1,5 +1,6 @@
 // No error in the times of this host may make an upstream warm too early: its cold start ends at a
 // host no sooner than at the upstream, whatever the order and the delays of calls and messages.
+#include "protocol/protocol.hpp"
 #include "tests/edge_fixture.hpp"
 
 #include <algorithm>
@@ -101,6 +102,7 @@
     {
         ++revision_;
         entries_[number] = cold_upstream(number, left, {era_, revision_});
+        entries_[number].write_number = ++writes_;
     }
 
     void turn_cold()
@@ -226,6 +228,7 @@
     std::uint64_t era_{1};
     std::uint64_t revision_{10};
     std::uint64_t backup_revision_{10};
+    std::uint64_t writes_{};
     std::map<int, upstream_entry> entries_;
     std::map<int, upstream_entry> backup_;
     std::array<upstream, upstream_count> upstreams_;
@@ -287,6 +290,89 @@
     CHECK(receiver.version().confirmed_at <= sender.version().confirmed_at);
 }
 
+// Guards against an upstream that counts as warm after a restore of the store from a backup: the
+// entry of the backup may be older than its cold start, or the first one that announces it.
+TEST_CASE("a restore of the store ends no cold start", "[edge][view][cold]")
+{
+    std::vector<view_change> changes;
+    upstream_entry warm = cold_upstream(1, {}, {1, 15});
+    warm.write_number = 3;
+    upstream_entry cold = cold_upstream(1, cold_time, {1, 20});
+    cold.write_number = 4;
+    deployment_view v;
+    SECTION("the backup is older than the cold start")
+    {
+        v.apply(make_operators({1, 20}, 1), {{1, 20}, {cold}}, edge_start, edge_start, changes);
+        upstream_entry restored = warm;
+        restored.revision.era = 2;
+        v.apply(make_operators({2, 15}, 1), {{2, 15}, {restored}}, edge_start + 500ms,
+                edge_start + 500ms, changes);
+        CHECK(cold_until(v, 1) == edge_start + cold_time);
+    }
+    SECTION("the first listing after the restore announces the cold start")
+    {
+        v.apply(make_operators({1, 15}, 1), {{1, 15}, {warm}}, edge_start, edge_start, changes);
+        upstream_entry written = cold;
+        written.revision = {2, 17};
+        v.apply(make_operators({2, 17}, 1), {{2, 17}, {written}}, edge_start + 500ms,
+                edge_start + 500ms, changes);
+        CHECK(cold_until(v, 1) == edge_start + 500ms + cold_time);
+        // The upstream itself says when it is warm.
+        upstream_entry again = warm;
+        again.revision = {2, 18};
+        again.write_number = 5;
+        v.apply(make_operators({2, 18}, 1), {{2, 18}, {again}}, edge_start + 900ms,
+                edge_start + 900ms, changes);
+        CHECK(cold_until(v, 1) == time_point{});
+    }
+    SECTION("the number of the entry is passed on to other hosts")
+    {
+        v.apply(make_operators({1, 15}, 1), {{1, 15}, {warm}}, edge_start, edge_start, changes);
+        deployment_view reader;
+        upstream_entry written = cold;
+        written.revision = {2, 17};
+        reader.apply(make_operators({2, 17}, 1), {{2, 17}, {written}}, edge_start, edge_start,
+                     changes);
+        auto const received = decode_view(encode_view(reader.changes_since({}, 0, edge_start)));
+        REQUIRE(received);
+        v.apply(*received, edge_start + 10ms, changes);
+        CHECK(cold_until(v, 1) >= edge_start + cold_time);
+    }
+}
+
+// Guards against the load of a warm zone on upstreams that turned cold before their zone returned,
+// while the restored store still lists their entries of before.
+TEST_CASE("a zone that returns after a restore is cold until its entries are new",
+          "[edge][view][cold]")
+{
+    deployment_view v;
+    std::vector<view_change> changes;
+    operator_listing evacuated = make_operators({1, 20}, 1);
+    evacuated.evacuated_zones = {"akl"};
+    upstream_entry e = cold_upstream(1, {}, {1, 15});
+    e.write_number = 3;
+    v.apply(evacuated, {{1, 20}, {e}}, edge_start, edge_start, changes);
+    evacuated.as_of = {2, 20};
+    e.revision.era = 2;
+    time_point now = edge_start + 1s;
+    v.apply(evacuated, {{2, 20}, {e}}, now, now, changes);
+    now += 300ms;
+    v.apply(make_operators({2, 21}, 1), {{2, 21}, {e}}, now, now, changes);
+    CHECK(v.accepts_new_flows(*v.find(make_flow_token(e.name)), now));
+    CHECK(cold_until(v, 1) > now + 1s);
+    e.revision = {2, 22};
+    e.write_number = 5;
+    now += 300ms;
+    v.apply(make_operators({2, 22}, 1), {{2, 22}, {e}}, now, now, changes);
+    CHECK(cold_until(v, 1) == time_point{});
+    // Without a restore, the entries are those of the present.
+    now += 10s;
+    evacuated.as_of = {2, 23};
+    v.apply(evacuated, {{2, 23}, {e}}, now, now, changes);
+    v.apply(make_operators({2, 24}, 1), {{2, 24}, {e}}, now, now, changes);
+    CHECK(cold_until(v, 1) == time_point{});
+}
+
 // Guards against any order of slow calls, late responses and relayed views that ends a cold start
 // too early.
 TEST_CASE("no order of calls and delays makes an upstream warm too early", "[edge][view][cold]")
@@ -294,4 +380,9 @@
     replay(false);
 }
 
+TEST_CASE("restores beside slow calls make no upstream warm too early", "[edge][view][cold]")
+{
+    replay(true);
+}
+
 } // namespace chivelever
--- a/tests/edge_support_test.cpp
+++ b/tests/edge_support_test.cpp
@@ -160,6 +160,7 @@
     v.config_base = 3;
     v.dropped_routes = {desk_route};
     v.upstreams = {31, {make_upstream(1), make_upstream(2, "wlg")}};
+    v.upstreams.entries[1].write_number = 12;
     v.removed = {"i-9"};
     CHECK(decode_view(encode_view(v)) == v);
 
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -224,6 +224,7 @@
     CHECK(e.slots == 2);
     CHECK(e.cold_left_ms == 250);
     CHECK(e.started_unix_ms == 1700000000123);
+    CHECK(e.write_number == 4);
     CHECK(e.revision == 5);
 
     auto const refused = [&](std::string const& from, std::string const& to)
@@ -244,6 +245,7 @@
     CHECK(refused("\"maxConcurrency\":2", "\"maxConcurrency\":0"));
     CHECK(refused("\"maxConcurrency\":2", "\"maxConcurrency\":\"2\""));
     CHECK(refused("\"warmupLeftMs\":250", "\"warmupLeftMs\":-1"));
+    CHECK(refused("\"sequence\":4", "\"sequence\":\"4\""));
     CHECK(refused("\"zone\":\"regina\",", ""));
     CHECK(refused("1700000000123", "\"today\""));
     CHECK(refused("{", "["));
