Send at most two large views at a time

Cause: when the configuration grows by many routes, all other hosts fetch the view from the host that has read it first. At 79 hosts and 10 Mbit/s that is eight seconds of responses, and the host's own calls, heartbeats and probes wait behind them: it goes on by its old view, and its probes fail.

Change: a host sends at most two views of more than 500 rows at a time and responds to other requests with 503 at once; the hosts that are refused ask one with the newer view, chosen anew, after a random time. A transfer ends when its client has closed the connection, within 1 s. Configurations arrive sooner, as more hosts pass them on.

--- a/coordination/coordination.hpp
+++ b/coordination/coordination.hpp
@@ -30,6 +30,7 @@
 #include "coordination/store_watcher.hpp"
 #include "coordination/upstream_health.hpp"
 #include "coordination/upstream_limit.hpp"
+#include "coordination/view_transfers.hpp"
 // IWYU pragma: end_exports
 
 #endif
--- a/coordination/deployment_view.cpp
+++ b/coordination/deployment_view.cpp
@@ -388,6 +388,24 @@
     return config_ ? config_->idle_limit : duration{};
 }
 
+std::size_t deployment_view::rows_since(store_position as_of, std::uint64_t config_version) const
+{
+    bool const complete = as_of == store_position{} || as_of.era != as_of_.era;
+    std::size_t rows = 0;
+    if (config_ && (as_of == store_position{} || config_->version > config_version))
+    {
+        auto const first = std::ranges::find(config_steps_, config_version, &config_step::from);
+        if (complete || first == config_steps_.end())
+            rows = config_->routes.size();
+        else
+            for (auto step = first; step != config_steps_.end(); ++step)
+                rows += step->changed_destinations.size();
+    }
+    return rows + static_cast<std::size_t>(std::ranges::count_if(
+                      by_name_, [&](auto const& item)
+                      { return complete || item.second.entry.revision >= as_of; }));
+}
+
 peer_view deployment_view::changes_since(store_position as_of, std::uint64_t config_version,
                                          time_point now) const
 {
--- a/coordination/deployment_view.hpp
+++ b/coordination/deployment_view.hpp
@@ -72,6 +72,8 @@
     // of 0 selects the complete view.
     peer_view changes_since(store_position as_of, std::uint64_t config_version,
                             time_point now) const;
+    // Upper bound on the routes and upstreams that `changes_since` returns.
+    std::size_t rows_since(store_position as_of, std::uint64_t config_version) const;
     // Records that another host has read the same contents at this or a later revision.
     void confirm(store_position as_of, time_point read_at, time_point now);
 
--- a/coordination/peer_exchange.cpp
+++ b/coordination/peer_exchange.cpp
@@ -33,6 +33,8 @@
 // A fetch occupies the link of a small host for a few ms, so hosts delay theirs by a random time of
 // up to this much per host of the fleet.
 constexpr duration fetch_spread_per_host = 2ms;
+// A large view takes about this long to be sent.
+constexpr duration min_fetch_retry_delay = 50ms;
 // Delay after a failed read; doubled after each further failure.
 constexpr duration backoff_base = 150ms;
 constexpr duration max_backoff = 1200ms;
@@ -353,6 +355,11 @@
     return random_below(fetch_spread_per_host * static_cast<int>(alive_count_ + 1), random_);
 }
 
+duration peer_exchange::fetch_retry_delay()
+{
+    return min_fetch_retry_delay + 2 * fetch_delay();
+}
+
 std::optional<std::uint32_t> peer_exchange::newer_peer(view_version const& own, time_point now)
 {
     std::vector<std::uint32_t> newer;
--- a/coordination/peer_exchange.hpp
+++ b/coordination/peer_exchange.hpp
@@ -69,6 +69,8 @@
 
     // Random delay before fetching a view.
     duration fetch_delay();
+    // Random delay after a host was too busy to send its view, in which others can get it.
+    duration fetch_retry_delay();
     // A random host with a newer view than this one, to fetch it from.
     std::optional<std::uint32_t> newer_peer(view_version const& own, time_point now);
 
--- a/edge/edge_host.cpp
+++ b/edge/edge_host.cpp
@@ -209,8 +209,12 @@
     if (call.path == view_path && view_.loaded())
     {
         view_base const base = decode_view_query(call.query);
+        auto transfer = transfers_.begin(view_.rows_since(base.as_of, base.config_version));
+        if (!transfer)
+            return {http_unavailable, plain, "busy\n"};
         return {http_ok, "application/json",
-                encode_view(view_.changes_since(base.as_of, base.config_version, now))};
+                encode_view(view_.changes_since(base.as_of, base.config_version, now)),
+                std::move(transfer)};
     }
     return {http_not_found, plain, "no such page\n"};
 }
--- a/edge/edge_host.hpp
+++ b/edge/edge_host.hpp
@@ -97,7 +97,13 @@
     boost::asio::awaitable<void> fetch_view();
     void report_changes(bool applied, std::vector<view_change> const& changes,
                         std::string const& source, store_position as_of);
-    boost::asio::awaitable<bool> fetch_from(endpoint source, store_position as_of);
+    enum class fetch_outcome : std::uint8_t
+    {
+        done,       // applied, not needed any more, or failed
+        incomplete, // the whole view must be fetched
+        busy        // the source sends too many views at present
+    };
+    boost::asio::awaitable<fetch_outcome> fetch_from(endpoint source, store_position as_of);
     void on_peer_message(std::string_view bytes, endpoint source);
     void on_heartbeat(std::string_view bytes, endpoint source);
     void refuse_peer_message(endpoint source);
@@ -150,6 +156,7 @@
     upstream_health health_;
     placement placement_;
     peer_exchange peers_;
+    view_transfers transfers_;
     host_directory directory_;
     slow_start recoveries_;
     store_era store_era_;
--- a/edge/edge_sync.cpp
+++ b/edge/edge_sync.cpp
@@ -16,6 +16,8 @@
 using namespace std::chrono_literals;
 
 constexpr duration fetch_timeout = 500ms;
+// Of one fetch from hosts that are busy; the next heartbeat of a newer one starts another.
+constexpr int max_fetch_attempts = 12;
 // Mostly hosts of the sender's own zone, which it knows best.
 constexpr std::size_t max_hosts_to_other_zones = 4;
 // Older answers say nothing about a suspicion: the first probe began at most this long ago.
@@ -50,22 +52,31 @@
     // started does not wait, unless it has seen an empty store like all others.
     if (view_.loaded() || own.confirmed_at != time_point{})
         co_await sleep_for(io_, peers_.fetch_delay());
-    auto const chosen = peers_.newer_peer(view_.version(), boot_time_now());
-    endpoint const from{chosen.value_or(*source), settings_.peer_port};
-    // Fetches the changes only; if the views differ afterwards, they had diverged before, and the
-    // whole view is fetched.
-    bool const same =
-        co_await fetch_from(from, view_.loaded() ? view_.version().as_of : store_position{});
-    if (!same)
-        co_await fetch_from(from, 0);
+    auto outcome = fetch_outcome::busy;
+    for (int attempt = 0; attempt < max_fetch_attempts && outcome == fetch_outcome::busy; ++attempt)
+    {
+        if (attempt > 0)
+            co_await sleep_for(io_, peers_.fetch_retry_delay());
+        auto const chosen = peers_.newer_peer(view_.version(), boot_time_now());
+        if (attempt > 0 && !chosen)
+            break;
+        endpoint const from{chosen.value_or(*source), settings_.peer_port};
+        // Fetches the changes only; if the views differ afterwards, they had diverged before, and
+        // the whole view is fetched.
+        outcome =
+            co_await fetch_from(from, view_.loaded() ? view_.version().as_of : store_position{});
+        if (outcome == fetch_outcome::incomplete)
+            outcome = co_await fetch_from(from, 0);
+    }
     if (view_.version().as_of > own.as_of)
         send_heartbeats();
 }
 
-// Fetches the changes since `as_of`, or the whole view if it is 0. Returns false if the whole view
-// must be fetched: the received changes were not applied, or the resulting view differs from the
-// one of the source. Returns true also if the fetch failed, or if the own view is newer by now.
-asio::awaitable<bool> edge_host::fetch_from(endpoint source, store_position as_of)
+// Fetches the changes since `as_of`, or the whole view if it is 0. The whole view must be fetched
+// if the received changes were not applied, or the resulting view differs from the one of the
+// source.
+asio::awaitable<edge_host::fetch_outcome> edge_host::fetch_from(endpoint source,
+                                                                store_position as_of)
 {
     http_connection connection(io_, source);
     std::uint64_t const config = as_of == store_position{} ? 0 : view_.version().config_version;
@@ -73,13 +84,19 @@
     time_point const requested_at = boot_time_now();
     auto const reply = co_await connection.call("GET", target, "", fetch_timeout);
     auto v = reply && reply->status == http_ok ? decode_view(reply->body) : std::nullopt;
+    bool const busy = reply && reply->status == http_unavailable;
     metrics_.count("view_fetches_total", "views fetched from other hosts",
-                   std::string("outcome=\"") + (v ? "done" : "failed") + "\",whole=\"" +
-                       (as_of == store_position{} ? "yes" : "no") + "\"")++;
+                   std::string("outcome=\"") +
+                       (v      ? "done"
+                        : busy ? "busy"
+                               : "failed") +
+                       "\",whole=\"" + (as_of == store_position{} ? "yes" : "no") + "\"")++;
+    if (busy)
+        co_return fetch_outcome::busy;
     if (!v)
     {
         log::warning("view.fetch_failed", {{"from", to_string(source)}});
-        co_return true;
+        co_return fetch_outcome::done;
     }
     time_point const now = boot_time_now();
     std::vector<view_change> changes;
@@ -90,7 +107,8 @@
         start_recoveries(changes, now);
     bool const newer_meanwhile = view_.version().as_of > v->operators.as_of;
     // A complete view of a later era may have an older configuration than this host.
-    co_return newer_meanwhile || (applied && (v->complete || view_.version().digest == v->digest));
+    bool const same = applied && (v->complete || view_.version().digest == v->digest);
+    co_return newer_meanwhile || same ? fetch_outcome::done : fetch_outcome::incomplete;
 }
 
 void edge_host::report_changes(bool applied, std::vector<view_change> const& changes,
--- a/transport/event_loop_http.cpp
+++ b/transport/event_loop_http.cpp
@@ -29,6 +29,8 @@
 constexpr std::size_t max_request_bytes = 8 * 1024;
 // Idle connections are closed after this time; probes arrive twice per second.
 constexpr duration idle_timeout = 10s;
+// A client that has not received a bounded transfer by then loses its connection.
+constexpr duration transfer_timeout = 1s;
 // File descriptors are limited; probes, metrics and other hosts need a few dozen connections.
 constexpr int max_connections = 256;
 constexpr duration accept_retry_delay = 100ms;
@@ -45,11 +47,13 @@
     stream.socket().set_option(asio::ip::tcp::no_delay(true));
     beast::flat_buffer buffer(max_request_bytes);
     bool keep_alive = true;
+    std::shared_ptr<void const> transfer;
     while (keep_alive)
     {
-        stream.expires_after(idle_timeout);
+        stream.expires_after(transfer ? transfer_timeout : idle_timeout);
         http::request<http::string_body> request;
         co_await http::async_read(stream, buffer, request, asio::use_awaitable);
+        transfer.reset();
         auto const method = request.method_string();
         std::string const target(request.target());
         auto const query = target.find('?');
@@ -58,6 +62,7 @@
         if (query != std::string::npos)
             call.query = target.substr(query + 1);
         http_response result = handler(call);
+        transfer = std::move(result.transfer);
         http::response<http::string_body> response{
             static_cast<http::status>(static_cast<unsigned>(result.status)), request.version(),
             std::move(result.body)};
--- a/transport/http_server.hpp
+++ b/transport/http_server.hpp
@@ -25,6 +25,9 @@
     int status{200};
     std::string content_type{"application/json"};
     std::string body;
+    // Released when the client has received the response: it has closed the connection, sent its
+    // next request, or not done so in time. Only http_listener honours it.
+    std::shared_ptr<void const> transfer{};
     auto operator<=>(http_response const&) const = default;
 };
 using http_handler = std::function<http_response(http_request const&)>;
