Count an upstream as missing from the start of the reading

Callers could be sent to an upstream that had gone: after a gap of 1.5 s or more between two readings, a host uses missing entries for 2.4 s more, and took those for expired during the gap that the last reading before it had not listed.

Cause: an upstream was missing since its listing was applied, but the outage began when the reading of that listing had begun, which is earlier. The older test has readings that take no time.

Change: an upstream is missing since the start of the reading.

--- a/coordination/deployment_view.cpp
+++ b/coordination/deployment_view.cpp
@@ -64,7 +64,7 @@
     if (operators.config && (!config_ || operators.config->version > config_->version))
         apply_config(*operators.config, changes);
     apply_zones(operators.evacuated_zones, now, changes);
-    apply_upstreams(upstreams, read.latest, now, changes);
+    apply_upstreams(upstreams, read, now, changes);
     complete_update(operators.as_of, read.earliest, now, changes);
 }
 
@@ -99,7 +99,7 @@
     {
         auto const it = by_name_.find(name);
         if (it != by_name_.end() && it->second.entry.revision <= view.operators.as_of)
-            mark_missing(it->second, view.operators.as_of, now, changes);
+            mark_missing(it->second, view.operators.as_of, read.earliest, changes);
     }
     complete_update(view.operators.as_of, read.earliest, now, changes);
     return true;
@@ -269,29 +269,31 @@
         known.cold_until = cold_until;
 }
 
-void deployment_view::apply_upstreams(upstream_listing const& listing, time_point latest_read,
+void deployment_view::apply_upstreams(upstream_listing const& listing, reading_time read,
                                       time_point now, std::vector<view_change>& changes)
 {
     std::set<std::string_view> listed_names;
     for (upstream_entry const& e : listing.entries)
     {
         listed_names.insert(e.name);
-        update_upstream(by_name_[e.name], e, latest_read, now, changes);
+        update_upstream(by_name_[e.name], e, read.latest, now, changes);
     }
     for (auto& [name, known] : by_name_)
     {
         if (!listed_names.contains(name))
-            mark_missing(known, listing.as_of, now, changes);
+            mark_missing(known, listing.as_of, read.earliest, changes);
     }
 }
 
-void deployment_view::mark_missing(known_upstream& known, store_position as_of, time_point now,
+// Counted from the start of the reading: an upstream that was missing in the last one before an
+// outage did not expire during the outage.
+void deployment_view::mark_missing(known_upstream& known, store_position as_of, time_point read_at,
                                    std::vector<view_change>& changes)
 {
     if (!known.listed)
         return;
     known.listed = false;
-    known.missing_since = now;
+    known.missing_since = read_at;
     known.missing_as_of = as_of;
     changes.push_back(
         {"upstream.missing", known.entry.name, known.entry.draining ? "draining" : "ready"});
--- a/coordination/deployment_view.hpp
+++ b/coordination/deployment_view.hpp
@@ -138,9 +138,9 @@
     // Reconstructs a complete configuration from a difference; nullopt if the difference is based
     // on another version.
     std::optional<edge_config> merge_config(peer_view const& view) const;
-    void apply_upstreams(upstream_listing const& listing, time_point latest_read, time_point now,
+    void apply_upstreams(upstream_listing const& listing, reading_time read, time_point now,
                          std::vector<view_change>& changes);
-    void mark_missing(known_upstream& known, store_position as_of, time_point now,
+    void mark_missing(known_upstream& known, store_position as_of, time_point read_at,
                       std::vector<view_change>& changes);
     void complete_update(store_position as_of, time_point read_at, time_point now,
                          std::vector<view_change>& changes);
--- a/tests/deployment_view_test.cpp
+++ b/tests/deployment_view_test.cpp
@@ -82,6 +82,22 @@
     CHECK_FALSE(accepts_new_flows(v, make_upstream(1), now));
 }
 
+// Guards against new flows to an upstream that was gone before a gap between two readings: readings
+// take some time, and the last one before the gap, which did not list it, began before it ended.
+TEST_CASE("an upstream that was missing before an outage is not used after it", "[edge][view]")
+{
+    deployment_view v;
+    std::vector<view_change> changes;
+    time_point now = edge_start;
+    v.apply(make_operators(30, 1), {30, {make_upstream(1), make_upstream(2)}}, now, now, changes);
+    now += 800ms;
+    v.apply(make_operators(31, 1), {31, {make_upstream(1)}}, now, now + 20ms, changes);
+    now += 3s; // no reading succeeds
+    v.apply(make_operators(32, 1), {32, {}}, now, now + 20ms, changes);
+    CHECK(accepts_new_flows(v, make_upstream(1), now + 20ms));
+    CHECK_FALSE(accepts_new_flows(v, make_upstream(2), now + 20ms));
+}
+
 // Guards against packets sent to the new owner of an address, and against resetting flows whose
 // upstream entry has merely expired.
 TEST_CASE("an upstream has terminated when another one uses its address", "[edge][view]")
