Send flow reports that timers and other hosts give rise to

A report of a contested flow waited for the next packet of a caller if it arose from a retry timer or from another host's report. The messages are now scheduled there too.

--- a/edge/edge_flows.cpp
+++ b/edge/edge_flows.cpp
@@ -36,8 +36,7 @@
 
 } // namespace
 
-// Messages are sent after the datagrams that are being read, so that those of one batch share a
-// message.
+// Sends after the datagrams that are being read, so that those of one batch share a message.
 void edge_host::schedule_flow_report()
 {
     if (flow_report_scheduled_ || !router_.owners().has_messages())
@@ -84,6 +83,7 @@
             execute(held->decision, held->packet, now);
             log_decision(held->decision, held->packet, now);
         }
+    schedule_flow_report();
     arm_retry_timer();
 }
 
--- a/edge/edge_packets.cpp
+++ b/edge/edge_packets.cpp
@@ -322,6 +322,7 @@
         execute(r.decision, r.packet, now);
         log_decision(r.decision, r.packet, now);
     }
+    schedule_flow_report();
     arm_retry_timer();
 }
 
