--- a/coordination/flow_owners.hpp
+++ b/coordination/flow_owners.hpp
@@ -5,16 +5,15 @@
 // the one that answered last, which need not be the one at which the flow is open.
 //
 // A host that receives such a copy holds it and asks the hosts of its zone; only without an answer
-// does it choose an upstream. A flow that may have reached two upstreams all the same is reported
-// to the zone when it opens, so that no host relies on the echoed token alone
-// (docs/design/flow-owners.md).
+// does it choose an upstream. A flow whose SYN may have reached two upstreams all the same is
+// called contested. It is reported to the zone when that happens and again when it opens, so that
+// hosts without memory of it do not rely on the echoed token (docs/design/flow-owners.md).
 #ifndef CHIVELEVER_COORDINATION_FLOW_OWNERS_HPP
 #define CHIVELEVER_COORDINATION_FLOW_OWNERS_HPP
 
 #include "state/state.hpp"
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
--- a/edge/edge_flows.cpp
+++ b/edge/edge_flows.cpp
@@ -13,6 +13,8 @@
 // A row takes about 50 bytes.
 constexpr std::size_t max_flows_per_datagram = 24;
 
+// Hosts that tell a newcomer about the same flow; the newcomer itself may be one of the first by
+// rank.
 constexpr std::size_t hosts_telling_newcomers = 3;
 
 // Splits a report into datagrams.
