--- a/tests/view_transfer_test.cpp
+++ b/tests/view_transfer_test.cpp
@@ -191,9 +191,9 @@
 TEST_CASE("large views are bounded, small ones are not", "[edge][transfers]")
 {
     view_transfers transfers;
-    std::vector<view_transfers::slot> small;
-    for (int i = 0; i < 100; ++i)
-        small.push_back(transfers.begin(500));
+    std::vector<view_transfers::slot> small(100);
+    for (auto& slot : small)
+        slot = transfers.begin(500);
     CHECK(std::ranges::none_of(small, [](auto const& s) { return s == nullptr; }));
     auto first = transfers.begin(large);
     auto const second = transfers.begin(501);
