--- a/review/12/case.py
+++ b/review/12/case.py
@@ -29,11 +29,11 @@
 
 
 async def case(record, trouble):
-    world = deployment.Deployment(record, ["akl", "wlg"], 2, 3, COLD_S, COLD_PER_S, seed=int(time.time()))
+    world = deployment.Deployment(record, ["akl", "wlg"], 2, ["desk"] * 3, COLD_S, COLD_PER_S, seed=int(time.time()))
     try:
         await world.start_all()
         for zone in world.zones:
-            world.start_callers(zone, 40, 0.6)
+            world.start_callers(zone, "desk", 40, 0.6)
         await asyncio.sleep(3)
         await world.operate("op/evacuate/wlg", b"{}")
         await asyncio.sleep(6)
--- a/review/support-3/deployment.py
+++ b/review/support-3/deployment.py
@@ -136,16 +136,18 @@
 
 
 class Deployment(up.World):
-    def __init__(self, record, zones, hosts_per_zone, servers_per_zone, cold_s, cold_per_s, seed):
+    """`servers` holds the services of the servers of each zone; each service has a route of its own."""
+
+    def __init__(self, record, zones, hosts_per_zone, servers, cold_s, cold_per_s, seed):
         self.addresses = [f"127.{50 + i}.0.{n + 1}" for i in range(len(zones)) for n in range(hosts_per_zone)]
         port = free_port_base(self.addresses)
         super().__init__(zones, hosts_per_zone, port, seed)
         self.hosts = {z: [f"127.{50 + i}.0.{n + 1}" for n in range(hosts_per_zone)] for i, z in enumerate(zones)}
-        self.record, self.servers_per_zone = record, servers_per_zone
+        self.record, self.servers = record, servers
         self.cold_s, self.cold_per_s = cold_s, cold_per_s
         self.sent_at = {}
         self.processes = {}
-        self.route = ("198.18.0.1", 443)
+        self.route_of = {name: ("198.18.0.1", 443 + n) for n, name in enumerate(sorted(set(servers)))}
         self.directory = tempfile.TemporaryDirectory(prefix="chivelever-review-")
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as f:
             role = tomllib.load(f)["roles"]["balancer"]
@@ -173,14 +175,15 @@
 
     def configure_services(self):
         self.version += 3
-        self.services_ever = {self.route: {"desk"}}
-        self.routes = {self.route: "desk"}
+        self.routes = {route: name for name, route in self.route_of.items()}
+        self.services_ever = {route: {name} for name, route in self.route_of.items()}
         config = {"version": self.version, "services": [
-            {"name": "desk", "healthCheck": "/health", "maxConnections": 2000, "protocol": "h1", "tls": False,
-             "warmupS": self.cold_s, "warmupPerS": self.cold_per_s}],
+            {"name": name, "healthCheck": "/health", "maxConnections": 2000, "protocol": "h1", "tls": False,
+             "warmupS": self.cold_s, "warmupPerS": self.cold_per_s} for name in self.route_of],
             "limits": {"idleTimeoutMs": 15000}, "routes": [
-            {"name": "r0", "host": self.route[0], "prefix": f"/{self.route[1]}/", "type": "idempotent",
-             "timeoutMs": 3000, "targetLatencyMs": 200, "priority": 1, "service": "desk", "attempts": 2}]}
+            {"name": f"r-{name}", "host": host, "prefix": f"/{port}/", "type": "idempotent",
+             "timeoutMs": 3000, "targetLatencyMs": 200, "priority": 1, "service": name, "attempts": 2}
+            for name, (host, port) in self.route_of.items()]}
         self.store.put("op/config", json.dumps(config).encode())
 
     def start_process(self, ip):
@@ -202,8 +205,8 @@
         for ip in self.addresses:
             await self.store.listen(self.store_address(ip), self.store_port)
         for i, zone in enumerate(self.zones):
-            for n in range(self.servers_per_zone):
-                s = Server(self, len(self.upstreams), zone, "desk", f"127.{50 + i}.1.{n + 1}", self.upstream_port)
+            for n, service in enumerate(self.servers):
+                s = Server(self, len(self.upstreams), zone, service, f"127.{50 + i}.1.{n + 1}", self.upstream_port)
                 self.upstreams.append(s)
                 await s.start()
         self.configure_services()
@@ -219,11 +222,11 @@
         if any(p.poll() is not None for p in self.processes.values()):
             raise Unusable("a process did not start")
 
-    def start_callers(self, zone, number, pause):
+    def start_callers(self, zone, service, number, pause):
         """Callers that open a flow for each request."""
         for _ in range(number):
             self.tasks.append(asyncio.ensure_future(
-                self.callers[zone].run_caller(self.route, pause, False, self.counts)))
+                self.callers[zone].run_caller(self.route_of[service], pause, False, self.counts)))
 
     async def operate(self, key, value):
         """The operator writes a key, or removes it if there is no value, and repeats the call until it is accepted."""
