--- a/review/12/case.py
+++ b/review/12/case.py
@@ -15,19 +15,6 @@
 LAST_RESTART_BEFORE_RETURN_S = 1.1
 
 
-def broken_rules(world):
-    limit = COLD_PER_S * OVERAGE + SLACK
-    broken = []
-    for s in world.upstreams:
-        cold = [(sent, arrived) for sent, arrived, was_cold in s.opened if was_cold]
-        most = max((sum(1 for sent, arrived in cold if sent >= start and arrived < start + 1)
-                    for start, _ in cold), default=0)
-        world.record(f"server {s.id} in {s.zone}: {len(cold)} flows while cold, at most {most} within a second")
-        if most > limit:
-            broken.append(f"FAILBACK: cold server {s.id} got {most} requests in one second; the limit is {limit:g}")
-    return broken
-
-
 async def case(record, trouble):
     world = deployment.Deployment(record, ["akl", "wlg"], 2, ["desk"] * 3, COLD_S, COLD_PER_S, seed=int(time.time()))
     try:
@@ -54,7 +41,7 @@
             await world.operate("op/evacuate/wlg", None)
         await asyncio.sleep(COLD_S + 1)
         record(f"requests: {world.counts}")
-        return broken_rules(world)
+        return deployment.floods_of_cold_servers(world, COLD_PER_S * OVERAGE + SLACK)
     finally:
         await world.stop_all()
 
--- a/review/support-3/deployment.py
+++ b/review/support-3/deployment.py
@@ -69,11 +69,11 @@
     def __init__(self, world, number, zone, service, ip, port):
         super().__init__(world, number, zone, service, ip, port)
         self.cold_until = 0.0
-        self.starts = 1
         self.opened = []  # (sent, arrived) of the opening packet of each flow that it took
         self.check_ins = None
 
     async def start(self):
+        self.publish_entry()
         await super().start()
         self.check_ins = asyncio.ensure_future(self.check_in_regularly())
 
@@ -97,17 +97,28 @@
             self.world.store.put(key, json.dumps(entry).encode())
             self.world.record(f"server {self.id} entry accepted: born={self.started_ms} warmupLeftMs={left}")
 
-    async def restart(self):
-        """The process ends and starts again at once."""
+    async def end(self):
+        """The process ends; its flows are gone and its ports are closed."""
+        self.alive = False
         self.check_ins.cancel()
         self.flows.clear()
-        self.starts += 1
+        self.udp.close()
+        self.tcp.close()
+        await self.tcp.wait_closed()
+        self.world.record(f"server {self.id} ends")
+
+    async def start_again(self):
+        """Starts under the same id; the entry is written before anything is served."""
+        self.alive = True
         self.sequence = 0
         self.started_ms = int(time.time() * 1000)
         self.cold_until = time.monotonic() + self.world.cold_s
         self.world.record(f"server {self.id} starts again, cold for {self.world.cold_s} s")
-        self.publish_entry()
-        self.check_ins = asyncio.ensure_future(self.check_in_regularly())
+        await self.start()
+
+    async def restart(self):
+        await self.end()
+        await self.start_again()
 
     def on_syn(self, key, p):
         now = time.monotonic()
@@ -253,14 +264,32 @@
         self.directory.cleanup()
 
 
+def floods_of_cold_servers(world, limit):
+    """The rule FAILBACK: cold servers that got more flows within a second than the limit. Counted are flows whose
+    opening packet was sent and arrived within that second."""
+    broken = []
+    for s in world.upstreams:
+        cold = [(sent, arrived) for sent, arrived, was_cold in s.opened if was_cold]
+        most = max((sum(1 for sent, arrived in cold if sent >= start and arrived < start + 1)
+                    for start, _ in cold), default=0)
+        world.record(f"server {s.id} in {s.zone}: {len(cold)} flows while cold, at most {most} within a second")
+        if most > limit:
+            broken.append(f"FAILBACK: cold server {s.id} got {most} requests in one second; the limit is {limit:g}")
+    return broken
+
+
 def run_case(folder, case):
     """Runs `case(record, trouble)`, which returns the broken rules, and exits as the scripts of the review do."""
     record = Record(os.path.join(folder, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record(f"trouble={int(trouble)}")
+    loop = asyncio.new_event_loop()
+    task = loop.create_task(asyncio.wait_for(case(record, trouble), 105))
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
     try:
-        broken = asyncio.new_event_loop().run_until_complete(asyncio.wait_for(case(record, trouble), 105))
-    except (Unusable, OSError, asyncio.TimeoutError) as e:
+        broken = loop.run_until_complete(task)
+    except (Unusable, OSError, asyncio.TimeoutError, asyncio.CancelledError) as e:
         finish(record, [f"could not run: {e!r}"], 2)
     for line in broken:
         record("BROKEN " + line)
