Review: show that a late SYN opens a flow twice across zones

A host that may hold a late SYN asks only the hosts of its zone who has the flow. If the fabric moved the copy to another zone, a second upstream answers, and it resets the flow when the first host forwards by the echoed token.

--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,49 +1,80 @@
-"""A zone is taken back just after an outage of the store in which its servers were started again."""
+"""FLOW: the only host of a zone stands still for less than two seconds and goes on, several times.
+
+The stand-ins are those of the first review; only the routers are extended by the nearest zone. TROUBLE=0 does the same
+without suspending the host.
+"""
 
 import asyncio
-import os
+import random
+import signal
 import sys
-import time
-
-FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "support-3"))
-import deployment  # noqa: E402
-
-COLD_S, COLD_PER_S = 5.0, 2.0
-OVERAGE, SLACK = 1.5, 5  # warmupOverage and warmupSlack of the settings
-OUTAGE_S = 3.6  # platform_down, busy
-LAST_RESTART_BEFORE_RETURN_S = 1.1
-
-
-async def case(record, trouble):
-    world = deployment.Deployment(record, ["akl", "wlg"], 2, ["desk"] * 3, COLD_S, COLD_PER_S, seed=int(time.time()))
-    try:
-        await world.start_all()
-        for zone in world.zones:
-            world.start_callers(zone, "desk", 40, 0.6)
-        await asyncio.sleep(3)
-        await world.operate("op/evacuate/wlg", b"{}")
-        await asyncio.sleep(6)
-        if trouble:
-            record("the store answers 503 to everybody")
-            world.store.mode["all"] = ("busy", 0.0)
-        await asyncio.sleep(OUTAGE_S - LAST_RESTART_BEFORE_RETURN_S - 0.2)
-        for s in (s for s in world.upstreams if s.zone == "wlg"):
-            await s.restart()
-            await asyncio.sleep(0.1)
-        take_back = asyncio.ensure_future(world.operate("op/evacuate/wlg", None)) if trouble else None
-        await asyncio.sleep(LAST_RESTART_BEFORE_RETURN_S - 0.1)
+import zlib
+from pathlib import Path
+
+sys.dont_write_bytecode = True
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins"))
+import platform_standin as standin  # noqa: E402
+
+ROUTE = ("198.18.0.1", 443)
+HOSTS = {"akl": 2, "wlg": 1}
+SERVERS = {"akl": 5, "wlg": 5}
+USERS = 300  # of each zone, with long flows
+PAUSE_S = 4.0
+REQUESTS_PER_FLOW = 4
+SINGLE_REQUESTS_PER_S = 40  # with a flow each
+SUSPENDED_S = 1.7
+INTERVAL_S = 8.5  # from when the host goes on until it stands still again
+SUSPENSIONS = 8
+
+
+class Router(standin.Router):
+    """If no host of the zone is in rotation, the hosts of the nearest zone are used."""
+
+    def select(self, key):
+        if all(self.misses[h] >= 2 for h in self.hosts):
+            other = next(r for z, r in self.world.routers.items() if z != self.zone)
+            ready = [h for h in other.hosts if other.misses[h] < 2]
+            if ready:
+                return max(ready, key=lambda h: zlib.crc32(f"{h} {key}".encode()))
+        return super().select(key)
+
+
+standin.Router = Router
+
+
+async def suspend(world, host):
+    host.process.send_signal(signal.SIGSTOP)
+    world.log("suspended", host=host.name)
+    world.unplanned(SUSPENDED_S)
+    await asyncio.sleep(SUSPENDED_S)
+    host.process.send_signal(signal.SIGCONT)
+    world.log("goes_on", host=host.name)
+    world.unplanned()
+
+
+async def scenario(world, trouble):
+    await world.build(HOSTS, SERVERS, "order-desk")
+    world.configure({ROUTE: world.service})
+    await world.start_hosts()
+    await asyncio.sleep(3)
+    zones = list(world.requesters.values())
+    for requester in zones:
+        for _ in range(USERS):
+            world.tasks.append(asyncio.ensure_future(requester.long_lived(ROUTE, 3.0, PAUSE_S, REQUESTS_PER_FLOW)))
+    world.every(SINGLE_REQUESTS_PER_S, lambda: random.choice(zones).one_shot(ROUTE, 3.0, False))
+    await asyncio.sleep(6)
+    host = next(h for h in world.hosts if h.zone == "wlg")
+    for _ in range(SUSPENSIONS):
         if trouble:
-            record("the store answers again")
-            world.store.mode.clear()
-            await take_back
+            await suspend(world, host)
         else:
-            await world.operate("op/evacuate/wlg", None)
-        await asyncio.sleep(COLD_S + 1)
-        record(f"requests: {world.counts}")
-        return deployment.floods_of_cold_servers(world, COLD_PER_S * OVERAGE + SLACK)
-    finally:
-        await world.stop_all()
+            await asyncio.sleep(SUSPENDED_S)
+        await asyncio.sleep(INTERVAL_S)
+    world.stopping = True
+    await asyncio.sleep(3.5)
+    broken = [v for v in world.violations if v[1] == "FLOW"]
+    return [f"open flows that were broken: {len(broken)}"]
 
 
-deployment.run_case(FOLDER, case)
+if __name__ == "__main__":
+    standin.main(Path(__file__).resolve().parent / sys.argv[1], scenario)
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
-for source in standins/users_platform.py review/support-3/*.py review/1[1-5]/*.py; do
+for source in standins/users_platform.py review/standins/*.py review/support-3/*.py review/1[1-5]/*.py; do
   [ -f "$source" ] || continue
   python3 - "$source" "$out/code" <<'END'
 import py_compile
--- a/review/support-3/deployment.py
+++ b/review/support-3/deployment.py
@@ -22,6 +22,7 @@
 METRICS_PORT = 9464  # of the command in the deploy file
 HEARTBEAT_S = 1.2  # as heartbeatMs in the settings
 OPERATOR_RETRY_S = 0.1
+RESTART_S = 0.05
 
 
 class Unusable(Exception):
@@ -105,6 +106,7 @@
         self.udp.close()
         self.tcp.close()
         await self.tcp.wait_closed()
+        await asyncio.sleep(RESTART_S)  # also lets the event loop close the datagram socket
         self.world.record(f"server {self.id} ends")
 
     async def start_again(self):
