--- a/review/support-3/deployment.py
+++ b/review/support-3/deployment.py
@@ -281,8 +281,9 @@
 
 
 def run_case(folder, case):
-    """Runs `case(record, trouble)`, which returns the broken rules, and exits as the scripts of the review do."""
-    record = Record(os.path.join(folder, "record.txt"))
+    """Runs `case(record, trouble)`, which returns the broken rules, and exits as the scripts of the review do. The first
+    argument names the record."""
+    record = Record(os.path.join(folder, sys.argv[1]))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record(f"trouble={int(trouble)}")
     loop = asyncio.new_event_loop()
